--- /dev/null
+++ b/bbrgroup/group.go
@@ -0,0 +1,245 @@
+// Package bbrgroup holds what an instance needs to serve the database groups of
+// the configuration in force: the pools of the members, the knowledge about
+// replicas, and the present view of the journal.
+//
+// # Usage
+//
+//	r := bbrgroup.NewRegistry(deps)
+//	r.SetConfig(cfg, version, hash)
+//	g, ok := r.Group("billing")
+//	conn, err := g.Pool("m1").Acquire(ctx, ticket)
+package bbrgroup
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bluebellroute/bluebellroute/bbrconfig"
+	"github.com/bluebellroute/bluebellroute/bbrmember"
+	"github.com/bluebellroute/bluebellroute/bbrpool"
+	"github.com/bluebellroute/bluebellroute/bbrroute"
+	"github.com/bluebellroute/bluebellroute/bbrtype"
+)
+
+const (
+	// pollPause is the pause between two looks at a replica that is awaited.
+	pollPause = time.Millisecond
+	// pollPatience bounds the wait for a connection to look at a replica.
+	pollPatience = 2 * time.Second
+	// systemPriority is the priority of the system's own statements.
+	systemPriority = 0
+	// systemQueue bounds the system's own waiting statements.
+	systemQueue = 100
+)
+
+// Group serves one database group.
+type Group struct {
+	Name    bbrtype.GroupName
+	Tracker *bbrroute.Tracker
+
+	registry *Registry
+
+	mu     sync.Mutex
+	cfg    *bbrconfig.Group
+	pools  map[bbrtype.MemberName]*bbrpool.Pool
+	waits  int
+	polled map[bbrtype.MemberName]bool
+	// moved is closed and replaced when a replica's state is observed while
+	// somebody waits for it.
+	moved chan struct{}
+}
+
+// Config returns the group's configuration in force.
+func (g *Group) Config() *bbrconfig.Group {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.cfg
+}
+
+// Pool returns the pool of a member, nil if it is none.
+func (g *Group) Pool(m bbrtype.MemberName) *bbrpool.Pool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.pools[m]
+}
+
+// Pools returns all pools.
+func (g *Group) Pools() []*bbrpool.Pool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := make([]*bbrpool.Pool, 0, len(g.pools))
+	for _, p := range g.pools {
+		out = append(out, p)
+	}
+	return out
+}
+
+// Observe takes a member's state as read after a request sent at asOf, 0 if
+// unknown.
+func (g *Group) Observe(m bbrtype.MemberName, st bbrmember.State, asOf bbrtype.Mono) {
+	v := g.registry.View()
+	jg := v.Group(g.Name)
+	if jg == nil {
+		return
+	}
+	g.Tracker.Observe(jg, m, st, asOf, v.Until > asOf)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.waits > 0 {
+		close(g.moved)
+		g.moved = make(chan struct{})
+	}
+}
+
+// AwaitCopies waits until n replicas hold a position of the present history.
+// It returns an error if they do not in time.
+func (g *Group) AwaitCopies(ctx context.Context, p bbrtype.Position, n int) error {
+	return g.await(ctx, func() bool {
+		jg := g.registry.View().Group(g.Name)
+		return jg != nil && g.Tracker.Copies(jg, p) >= n
+	})
+}
+
+// AwaitMove waits until a replica's state was observed, or the time is over.
+func (g *Group) AwaitMove(ctx context.Context) {
+	first := true
+	_ = g.await(ctx, func() bool {
+		defer func() { first = false }()
+		return !first
+	})
+}
+
+// await waits until a condition holds that depends on the replicas' states.
+func (g *Group) await(ctx context.Context, holds func() bool) error {
+	if holds() {
+		return nil
+	}
+	g.mu.Lock()
+	g.waits++
+	g.pollLocked()
+	g.mu.Unlock()
+	defer func() {
+		g.mu.Lock()
+		g.waits--
+		g.mu.Unlock()
+	}()
+	for {
+		g.mu.Lock()
+		moved := g.moved
+		g.mu.Unlock()
+		if holds() {
+			return nil
+		}
+		select {
+		case <-moved:
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "wait for a replica")
+		}
+	}
+}
+
+// pollLocked starts a poller for each replica that has none.
+func (g *Group) pollLocked() {
+	jg := g.registry.View().Group(g.Name)
+	if jg == nil {
+		return
+	}
+	l, _ := jg.Last()
+	for m, pool := range g.pools {
+		if m == l.Member || g.polled[m] {
+			continue
+		}
+		g.polled[m] = true
+		g.registry.group.Go(func() error {
+			g.poll(m, pool)
+			return nil
+		})
+	}
+}
+
+// poll looks at a replica's state again and again while somebody waits.
+func (g *Group) poll(m bbrtype.MemberName, pool *bbrpool.Pool) {
+	ctx, cancel := context.WithTimeout(context.Background(), pollPatience)
+	defer cancel()
+	defer func() {
+		g.mu.Lock()
+		delete(g.polled, m)
+		if g.waits > 0 && ctx.Err() != nil {
+			g.pollLocked()
+		}
+		g.mu.Unlock()
+	}()
+	now := g.registry.clock.Now()
+	conn, err := pool.Acquire(ctx, bbrpool.Ticket{Queue: systemQueue, Priority: systemPriority, Deadline: now.Add(pollPatience)})
+	if err != nil {
+		return
+	}
+	started := g.registry.clock.Now()
+	defer func() { pool.Release(conn, g.registry.clock.Now().Sub(started)) }()
+	sql := g.Config().StateSQL
+	for ctx.Err() == nil {
+		g.mu.Lock()
+		wanted := g.waits > 0
+		g.mu.Unlock()
+		if !wanted {
+			return
+		}
+		sentAt := g.registry.clock.Now()
+		rows, err := conn.Query(ctx, sql)
+		if err != nil {
+			conn.Taint()
+			return
+		}
+		if st, err := ParseState(rows); err == nil {
+			g.Observe(m, st, sentAt)
+		}
+		time.Sleep(pollPause)
+	}
+}
+
+// stateColumns is the number of columns of a group's state statement.
+const stateColumns = 4
+
+// ParseState reads the answer of a group's state statement: in recovery,
+// visible position, received position, history.
+func ParseState(rows [][]string) (bbrmember.State, error) {
+	if len(rows) != 1 {
+		return bbrmember.State{}, errors.Errorf("the state statement returned %d rows: expected 1", len(rows))
+	}
+	return ParseStateRow(rows[0])
+}
+
+// ParseStateRow reads one row of a group's state statement.
+func ParseStateRow(row []string) (bbrmember.State, error) {
+	var st bbrmember.State
+	if len(row) != stateColumns {
+		return st, errors.Errorf("the state statement returned %d columns: expected %d", len(row), stateColumns)
+	}
+	switch row[0] {
+	case "t", "true":
+	case "f", "false":
+		st.Primary = true
+	default:
+		return st, errors.Errorf("the state statement's first column is %q: expected t or f", row[0])
+	}
+	var err error
+	if st.Position, err = bbrtype.ParsePosition(row[1]); err != nil {
+		return st, err
+	}
+	st.Received = st.Position
+	if row[2] != "" {
+		if st.Received, err = bbrtype.ParsePosition(row[2]); err != nil {
+			return st, err
+		}
+	}
+	h, err := strconv.ParseUint(row[3], 10, 64)
+	if err != nil {
+		return st, errors.Errorf("the state statement's history is %q: expected a number", row[3])
+	}
+	st.History = bbrtype.History(h)
+	return st, nil
+}
--- /dev/null
+++ b/bbrinstance/member.go
@@ -0,0 +1,214 @@
+package bbrinstance
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bluebellroute/bluebellroute/bbrcontrol"
+	"github.com/bluebellroute/bluebellroute/bbrgroup"
+	"github.com/bluebellroute/bluebellroute/bbrmember"
+	"github.com/bluebellroute/bluebellroute/bbrpool"
+	"github.com/bluebellroute/bluebellroute/bbrtype"
+)
+
+// probers keeps one connection to each member that is probed. They lie outside
+// the quota: a few connections of each member are set aside for them.
+type probers struct {
+	i *Instance
+
+	mu    sync.Mutex
+	conns map[bbrmember.Ref]*bbrpool.Conn
+}
+
+func newProbers(i *Instance) *probers {
+	return &probers{i: i, conns: map[bbrmember.Ref]*bbrpool.Conn{}}
+}
+
+// take returns the connection kept for a member, if there is one.
+func (p *probers) take(ref bbrmember.Ref) *bbrpool.Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.conns[ref]
+	delete(p.conns, ref)
+	return c
+}
+
+// keep puts a connection back.
+func (p *probers) keep(ref bbrmember.Ref, c *bbrpool.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if old := p.conns[ref]; old != nil {
+		old.Close()
+	}
+	if p.i.ctx.Err() != nil {
+		c.Close()
+		return
+	}
+	p.conns[ref] = c
+}
+
+func (p *probers) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for ref, c := range p.conns {
+		c.Close()
+		delete(p.conns, ref)
+	}
+}
+
+// probe reads a member's state and reports the outcome.
+func (p *probers) probe(a bbrcontrol.Probe) {
+	ctx, cancel := context.WithTimeout(p.i.ctx, a.Timeout)
+	defer cancel()
+	sentAt := p.i.deps.Clock.Now()
+	st, err := p.read(ctx, a.Ref)
+	var refused *bbrpool.MemberError
+	switch {
+	case err == nil:
+		if g, ok := p.i.deps.Registry.Group(a.Ref.Group); ok {
+			g.Observe(a.Ref.Member, st, sentAt)
+		}
+		p.i.step(bbrcontrol.MemberAnswered{Ref: a.Ref, SentAt: sentAt, State: &st, Probed: true})
+	case errors.As(err, &refused):
+		// It answers, if only to say that it has no room.
+		p.i.step(bbrcontrol.MemberAnswered{Ref: a.Ref, SentAt: sentAt, Probed: true})
+	case errors.Is(err, errNoEndpoint):
+		p.i.step(bbrcontrol.MemberFailed{Ref: a.Ref, Kind: bbrmember.FailureNone, Probed: true})
+	default:
+		p.i.step(bbrcontrol.MemberFailed{Ref: a.Ref, Kind: bbrpool.FailureKind(err), Probed: true})
+	}
+}
+
+// errNoEndpoint tells that the configuration in force does not have the member.
+var errNoEndpoint = errors.New("the member's address is not known yet")
+
+// read asks a member for its state, over a new connection if the kept one
+// fails.
+func (p *probers) read(ctx context.Context, ref bbrmember.Ref) (bbrmember.State, error) {
+	g, ok := p.i.deps.Registry.Group(ref.Group)
+	if !ok {
+		return bbrmember.State{}, errNoEndpoint
+	}
+	sql := g.Config().StateSQL
+	if c := p.take(ref); c != nil {
+		rows, err := c.Query(ctx, sql)
+		if err == nil {
+			p.keep(ref, c)
+			return bbrgroup.ParseState(rows)
+		}
+		c.Close()
+	}
+	c, err := p.i.dial(ctx, ref)
+	if err != nil {
+		return bbrmember.State{}, err
+	}
+	rows, err := c.Query(ctx, sql)
+	if err != nil {
+		c.Close()
+		return bbrmember.State{}, err
+	}
+	p.keep(ref, c)
+	return bbrgroup.ParseState(rows)
+}
+
+// dial connects to a member.
+func (i *Instance) dial(ctx context.Context, ref bbrmember.Ref) (*bbrpool.Conn, error) {
+	e, ok := i.deps.Registry.Endpoint(ref)
+	if !ok {
+		return nil, errNoEndpoint
+	}
+	return i.dialer.Dial(ctx, e)
+}
+
+// promote orders a promotion and reads the state before and after it.
+func (i *Instance) promote(a bbrcontrol.Promote) {
+	ev := bbrcontrol.PromoteDone{Ref: a.Ref, Term: a.Term}
+	ctx, cancel := context.WithTimeout(i.ctx, a.Timeout)
+	defer cancel()
+	if err := i.orderPromotion(ctx, a, &ev); err != nil {
+		ev.Failed = true
+		i.deps.Log.WithError(err).WithField("group", a.Ref.Group).WithField("member", a.Ref.Member).Warn("promotion failed")
+	}
+	i.step(ev)
+}
+
+func (i *Instance) orderPromotion(ctx context.Context, a bbrcontrol.Promote, ev *bbrcontrol.PromoteDone) error {
+	g, ok := i.deps.Registry.Group(a.Ref.Group)
+	if !ok {
+		return errNoEndpoint
+	}
+	c, err := i.dial(ctx, a.Ref)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	gc := g.Config()
+	if ev.Before, err = queryState(ctx, c, gc.StateSQL); err != nil {
+		return err
+	}
+	if !ev.Before.Primary {
+		if _, err = c.Query(ctx, expand(gc.PromoteSQL, a.Term, "", "")); err != nil {
+			return errors.Wrap(err, "order the promotion")
+		}
+	}
+	for {
+		if ev.After, err = queryState(ctx, c, gc.StateSQL); err != nil || ev.After.Primary {
+			return err
+		}
+		time.Sleep(tickEvery)
+	}
+}
+
+func queryState(ctx context.Context, c *bbrpool.Conn, sql string) (bbrmember.State, error) {
+	rows, err := c.Query(ctx, sql)
+	if err != nil {
+		return bbrmember.State{}, errors.Wrap(err, "read the state")
+	}
+	return bbrgroup.ParseState(rows)
+}
+
+// expand fills in the placeholders of a group's statement.
+func expand(sql string, term bbrtype.Term, host, port string) string {
+	return strings.NewReplacer("{term}", strconv.FormatUint(uint64(term), 10), "{host}", host, "{port}", port).Replace(sql)
+}
+
+// follow orders a member to follow the primary.
+func (i *Instance) follow(a bbrcontrol.Follow) {
+	ctx, cancel := context.WithTimeout(i.ctx, orderTimeout)
+	defer cancel()
+	err := i.orderFollowing(ctx, a)
+	log := i.deps.Log.WithField("group", a.Ref.Group).WithField("member", a.Ref.Member).WithField("target", a.Target)
+	if err != nil {
+		log.WithError(err).Debug("member not repointed")
+		return
+	}
+	log.Info("member told to follow the primary")
+}
+
+func (i *Instance) orderFollowing(ctx context.Context, a bbrcontrol.Follow) error {
+	g, ok := i.deps.Registry.Group(a.Ref.Group)
+	if !ok {
+		return errNoEndpoint
+	}
+	target, ok := i.deps.Registry.Endpoint(bbrmember.Ref{Group: a.Ref.Group, Member: a.Target})
+	if !ok {
+		return errNoEndpoint
+	}
+	host, port, err := net.SplitHostPort(target.Address)
+	if err != nil {
+		return errors.Wrap(err, "address of the primary")
+	}
+	c, err := i.dial(ctx, a.Ref)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	_, err = c.Query(ctx, expand(g.Config().FollowSQL, a.Term, host, port))
+	return errors.Wrap(err, "order the following")
+}
--- /dev/null
+++ b/bbrkernel/control.go
@@ -0,0 +1,76 @@
+package bbrkernel
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bluebellroute/bluebellroute/bbradmin"
+	"github.com/bluebellroute/bluebellroute/bbrinstance"
+	"github.com/bluebellroute/bluebellroute/bbrmetric"
+	"github.com/bluebellroute/bluebellroute/bbrpeer"
+	"github.com/bluebellroute/bluebellroute/bbrproxy"
+	"github.com/bluebellroute/bluebellroute/bbrstatus"
+)
+
+const (
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 2 * time.Minute
+)
+
+// controlServer serves instances, operators and monitoring.
+type controlServer struct {
+	server *http.Server
+	tls    *tls.Config
+}
+
+func newControlServer(i *bbrinstance.Instance, p *bbrproxy.Server, r *reporter, admin http.Handler, m *bbrmetric.Set, cfg *tls.Config) *controlServer {
+	mux := http.NewServeMux()
+	mux.Handle(bbrpeer.PathPrefix, bbrpeer.NewHandler(i))
+	mux.Handle(bbradmin.PathPrefix, admin)
+	mux.Handle("/metrics", m.Handler())
+	mux.HandleFunc("/status", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		_ = bbrstatus.WriteText(w, r.report())
+	})
+	mux.HandleFunc("/status.json", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(r.report())
+	})
+	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("ok\n"))
+	})
+	mux.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if why := r.notReady(); why != "" {
+			http.Error(w, why, http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ready\n"))
+	})
+	mux.HandleFunc("/request", p.ServeRequestLookup)
+	return &controlServer{
+		server: &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
+		tls:    cfg,
+	}
+}
+
+func (s *controlServer) serve(l net.Listener) error {
+	if s.tls != nil {
+		l = tls.NewListener(l, s.tls)
+	}
+	if err := s.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "serve the control port")
+	}
+	return nil
+}
+
+func (s *controlServer) close(ctx context.Context) {
+	if s.server.Shutdown(ctx) != nil {
+		_ = s.server.Close()
+	}
+}
--- /dev/null
+++ b/bbrpeer/convert.go
@@ -0,0 +1,129 @@
+package bbrpeer
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bluebellroute/bluebellroute/bbrcontrol"
+	"github.com/bluebellroute/bluebellroute/bbrfailover"
+	"github.com/bluebellroute/bluebellroute/bbrjournal"
+	"github.com/bluebellroute/bluebellroute/bbrmember"
+	"github.com/bluebellroute/bluebellroute/bbrpeer/peerpb"
+	"github.com/bluebellroute/bluebellroute/bbrtype"
+)
+
+func refToProto(r bbrmember.Ref) *peerpb.MemberRef {
+	return &peerpb.MemberRef{Group: string(r.Group), Member: string(r.Member)}
+}
+
+func refFromProto(r *peerpb.MemberRef) bbrmember.Ref {
+	return bbrmember.Ref{Group: bbrtype.GroupName(r.GetGroup()), Member: bbrtype.MemberName(r.GetMember())}
+}
+
+// messageToProto encodes a message.
+func messageToProto(m bbrcontrol.Message) (*peerpb.Message, error) {
+	out := &peerpb.Message{
+		From: &peerpb.Instance{
+			Id: string(m.From.ID), Name: m.From.Name, Address: m.From.Address, DataCentre: string(m.From.DataCentre),
+		},
+		Applied: uint64(m.Applied), Joining: m.Joining, Leaving: m.Leaving, Version: m.Version,
+		WantVouch: m.WantVouch, Vouched: m.Vouched,
+	}
+	for _, r := range m.Records {
+		b, err := json.Marshal(r)
+		if err != nil {
+			return nil, errors.Wrap(err, "encode a record")
+		}
+		out.Records = append(out.Records, b)
+	}
+	if m.Snapshot != nil {
+		b, err := json.Marshal(m.Snapshot)
+		if err != nil {
+			return nil, errors.Wrap(err, "encode a state")
+		}
+		out.Snapshot = b
+	}
+	for _, r := range m.Reports {
+		out.Reports = append(out.Reports, reportToProto(r))
+	}
+	for _, id := range m.Heard {
+		out.Heard = append(out.Heard, string(id))
+	}
+	for _, s := range m.Suspects {
+		out.Suspects = append(out.Suspects, refToProto(s))
+	}
+	for _, w := range m.Wishes {
+		out.Wishes = append(out.Wishes, &peerpb.Wish{Group: string(w.Group), Excluded: string(w.Excluded)})
+	}
+	return out, nil
+}
+
+func reportToProto(r bbrcontrol.Report) *peerpb.Report {
+	out := &peerpb.Report{Ref: refToProto(r.Ref), Opinion: string(r.Opinion)}
+	if r.State != nil {
+		out.State = &peerpb.MemberState{
+			Primary: r.State.Primary, Position: uint64(r.State.Position),
+			Received: uint64(r.State.Received), History: uint64(r.State.History),
+		}
+		out.StateAgeUs = uint64(max(0, r.StateAge.Microseconds()))
+	}
+	return out
+}
+
+// messageFromProto decodes a message. Malformed parts are errors.
+func messageFromProto(m *peerpb.Message) (bbrcontrol.Message, error) {
+	from := m.GetFrom()
+	out := bbrcontrol.Message{
+		From: bbrjournal.Instance{
+			ID: bbrtype.InstanceID(from.GetId()), Name: from.GetName(), Address: from.GetAddress(),
+			DataCentre: bbrtype.DataCentre(from.GetDataCentre()),
+		},
+		Applied: bbrtype.Index(m.GetApplied()), Joining: m.GetJoining(), Leaving: m.GetLeaving(), Version: m.GetVersion(),
+		WantVouch: m.GetWantVouch(), Vouched: m.GetVouched(),
+	}
+	if out.From.ID == "" {
+		return out, errors.New("the message has no sender")
+	}
+	for _, b := range m.GetRecords() {
+		var r bbrjournal.Record
+		if err := json.Unmarshal(b, &r); err != nil {
+			return out, errors.Wrap(err, "decode a record")
+		}
+		out.Records = append(out.Records, r)
+	}
+	if len(m.GetSnapshot()) > 0 {
+		out.Snapshot = &bbrjournal.State{}
+		if err := json.Unmarshal(m.GetSnapshot(), out.Snapshot); err != nil {
+			return out, errors.Wrap(err, "decode a state")
+		}
+	}
+	for _, r := range m.GetReports() {
+		out.Reports = append(out.Reports, reportFromProto(r))
+	}
+	for _, id := range m.GetHeard() {
+		out.Heard = append(out.Heard, bbrtype.InstanceID(id))
+	}
+	for _, s := range m.GetSuspects() {
+		out.Suspects = append(out.Suspects, refFromProto(s))
+	}
+	for _, w := range m.GetWishes() {
+		out.Wishes = append(out.Wishes, bbrcontrol.Wish{
+			Group: bbrtype.GroupName(w.GetGroup()), Excluded: bbrtype.MemberName(w.GetExcluded()),
+		})
+	}
+	return out, nil
+}
+
+func reportFromProto(r *peerpb.Report) bbrcontrol.Report {
+	out := bbrcontrol.Report{Ref: refFromProto(r.GetRef()), Opinion: bbrfailover.Opinion(r.GetOpinion())}
+	if st := r.GetState(); st != nil {
+		out.State = &bbrmember.State{
+			Primary: st.GetPrimary(), Position: bbrtype.Position(st.GetPosition()),
+			Received: bbrtype.Position(st.GetReceived()), History: bbrtype.History(st.GetHistory()),
+		}
+		out.StateAge = time.Duration(r.GetStateAgeUs()) * time.Microsecond
+	}
+	return out
+}
--- /dev/null
+++ b/bbrpeer/peer.go
@@ -0,0 +1,215 @@
+// Package bbrpeer carries the calls between instances, by twirp.
+//
+// # Usage
+//
+//	clients := bbrpeer.NewClients(tlsConfig, metrics)
+//	reply, err := clients.Exchange(ctx, address, message)
+//
+//	mux.Handle(bbrpeer.PathPrefix, bbrpeer.NewHandler(service))
+package bbrpeer
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/twitchtv/twirp"
+
+	"github.com/bluebellroute/bluebellroute/bbrcontrol"
+	"github.com/bluebellroute/bluebellroute/bbrmember"
+	"github.com/bluebellroute/bluebellroute/bbrmetric"
+	"github.com/bluebellroute/bluebellroute/bbrpeer/peerpb"
+	"github.com/bluebellroute/bluebellroute/bbrquota"
+	"github.com/bluebellroute/bluebellroute/bbrtype"
+)
+
+// PathPrefix is where the handler is to be mounted.
+const PathPrefix = peerpb.PeerPathPrefix
+
+const (
+	// idleConnections is the number of idle connections kept to each peer.
+	idleConnections = 4
+	// dialTimeout bounds the making of a connection to a peer.
+	dialTimeout = 500 * time.Millisecond
+)
+
+// RenewRequest asks the granter of some members for connections.
+type RenewRequest struct {
+	From    bbrtype.InstanceID
+	Applied bbrtype.Index
+	Asks    map[bbrmember.Ref]bbrquota.Ask
+	// Release gives everything back.
+	Release bool
+}
+
+// Service is what an instance offers to its peers.
+type Service interface {
+	Exchange(ctx context.Context, m bbrcontrol.Message) (bbrcontrol.Message, error)
+	Renew(ctx context.Context, r RenewRequest) (map[bbrmember.Ref]int, error)
+	ConfigurationBody(ctx context.Context, hash string) ([]byte, error)
+}
+
+// ErrUnknownConfiguration is returned for a body that a peer does not have.
+var ErrUnknownConfiguration = errors.New("the configuration is not known here")
+
+// handler turns twirp's calls into those of a Service.
+type handler struct{ service Service }
+
+var _ peerpb.Peer = (*handler)(nil)
+
+// NewHandler returns the HTTP handler of a service.
+func NewHandler(s Service) http.Handler { return peerpb.NewPeerServer(&handler{service: s}) }
+
+// Exchange implements peerpb.Peer.
+func (h *handler) Exchange(ctx context.Context, m *peerpb.Message) (*peerpb.Message, error) {
+	msg, err := messageFromProto(m)
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("message", err.Error())
+	}
+	reply, err := h.service.Exchange(ctx, msg)
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return messageToProto(reply)
+}
+
+// Renew implements peerpb.Peer.
+func (h *handler) Renew(ctx context.Context, m *peerpb.RenewRequest) (*peerpb.RenewReply, error) {
+	r := RenewRequest{
+		From: bbrtype.InstanceID(m.GetFrom()), Applied: bbrtype.Index(m.GetApplied()),
+		Asks: map[bbrmember.Ref]bbrquota.Ask{}, Release: m.GetRelease(),
+	}
+	for _, a := range m.GetAsks() {
+		r.Asks[refFromProto(a.GetRef())] = bbrquota.Ask{Held: int(a.GetHeld()), Want: int(a.GetWant())}
+	}
+	grants, err := h.service.Renew(ctx, r)
+	if err != nil {
+		return nil, twirp.NewError(twirp.FailedPrecondition, err.Error())
+	}
+	out := &peerpb.RenewReply{}
+	for ref, n := range grants {
+		out.Grants = append(out.Grants, &peerpb.Grant{Ref: refToProto(ref), Amount: uint32(n)})
+	}
+	return out, nil
+}
+
+// Configuration implements peerpb.Peer.
+func (h *handler) Configuration(ctx context.Context, m *peerpb.ConfigurationRequest) (*peerpb.ConfigurationReply, error) {
+	body, err := h.service.ConfigurationBody(ctx, m.GetHash())
+	if errors.Is(err, ErrUnknownConfiguration) {
+		return nil, twirp.NotFoundError(err.Error())
+	}
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &peerpb.ConfigurationReply{Body: body}, nil
+}
+
+// Clients calls peers by their address.
+type Clients struct {
+	http   *http.Client
+	scheme string
+
+	mu    sync.Mutex
+	peers map[string]peerpb.Peer
+}
+
+// NewClients returns clients that use TLS if a configuration is given.
+func NewClients(cfg *tls.Config, metrics *bbrmetric.Set) *Clients {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	transport := &http.Transport{
+		TLSClientConfig:     cfg,
+		MaxIdleConnsPerHost: idleConnections,
+		IdleConnTimeout:     time.Minute,
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &countedConn{Conn: conn, metrics: metrics}, nil
+		},
+	}
+	scheme := "http://"
+	if cfg != nil {
+		scheme = "https://"
+	}
+	return &Clients{http: &http.Client{Transport: transport}, scheme: scheme, peers: map[string]peerpb.Peer{}}
+}
+
+func (c *Clients) at(address string) peerpb.Peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.peers[address]
+	if p == nil {
+		p = peerpb.NewPeerProtobufClient(c.scheme+address, c.http)
+		c.peers[address] = p
+	}
+	return p
+}
+
+// Exchange sends a message to a peer and returns its reply.
+func (c *Clients) Exchange(ctx context.Context, address string, m bbrcontrol.Message) (bbrcontrol.Message, error) {
+	req, err := messageToProto(m)
+	if err != nil {
+		return bbrcontrol.Message{}, err
+	}
+	reply, err := c.at(address).Exchange(ctx, req)
+	if err != nil {
+		return bbrcontrol.Message{}, errors.Wrapf(err, "exchange with %s", address)
+	}
+	return messageFromProto(reply)
+}
+
+// Renew asks a granter for connections.
+func (c *Clients) Renew(ctx context.Context, address string, r RenewRequest) (map[bbrmember.Ref]int, error) {
+	req := &peerpb.RenewRequest{From: string(r.From), Applied: uint64(r.Applied), Release: r.Release}
+	for ref, a := range r.Asks {
+		req.Asks = append(req.Asks, &peerpb.Ask{Ref: refToProto(ref), Held: uint32(a.Held), Want: uint32(a.Want)})
+	}
+	reply, err := c.at(address).Renew(ctx, req)
+	if err != nil {
+		return nil, errors.Wrapf(err, "renew grants with %s", address)
+	}
+	out := map[bbrmember.Ref]int{}
+	for _, g := range reply.GetGrants() {
+		out[refFromProto(g.GetRef())] = int(g.GetAmount())
+	}
+	return out, nil
+}
+
+// ConfigurationBody asks a peer for a configuration's body.
+func (c *Clients) ConfigurationBody(ctx context.Context, address, hash string) ([]byte, error) {
+	reply, err := c.at(address).Configuration(ctx, &peerpb.ConfigurationRequest{Hash: hash})
+	if err != nil {
+		return nil, errors.Wrapf(err, "read configuration from %s", address)
+	}
+	return reply.GetBody(), nil
+}
+
+// Close closes the idle connections.
+func (c *Clients) Close() { c.http.CloseIdleConnections() }
+
+// countedConn counts the bytes of a connection to a peer.
+type countedConn struct {
+	net.Conn
+	metrics *bbrmetric.Set
+}
+
+var _ io.ReadWriteCloser = (*countedConn)(nil)
+
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.metrics.PeerBytes(0, n)
+	return n, err
+}
+
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.metrics.PeerBytes(n, 0)
+	return n, err
+}
--- /dev/null
+++ b/bbrpool/conn.go
@@ -0,0 +1,169 @@
+package bbrpool
+
+import (
+	"context"
+	"net"
+	"os"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2/simplelru"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
+
+	"github.com/bluebellroute/bluebellroute/bbrtype"
+)
+
+const (
+	// preparedLimit bounds the statements prepared on one connection.
+	preparedLimit = 256
+	// writeTimeout bounds a write to a member that takes nothing.
+	writeTimeout = 10 * time.Second
+)
+
+// Conn is a connection to a member. It is used by one goroutine at a time.
+type Conn struct {
+	net net.Conn
+	fe  *pgproto3.Frontend
+
+	// PID and Secret let a statement be cancelled.
+	PID    uint32
+	Secret []byte
+	// Settings is a digest of the session settings in force on the member's
+	// side.
+	Settings string
+
+	prepared *lru.LRU[string, struct{}]
+	evicted  []string
+	bornAt   bbrtype.Mono
+	usedAt   bbrtype.Mono
+	tainted  bool
+}
+
+func newConn(n net.Conn, fe *pgproto3.Frontend, pid uint32, secret []byte, now bbrtype.Mono) *Conn {
+	c := &Conn{net: n, fe: fe, PID: pid, Secret: secret, bornAt: now, usedAt: now}
+	// The size is a positive constant: there is no error.
+	c.prepared, _ = lru.NewLRU(preparedLimit, func(name string, _ struct{}) {
+		c.evicted = append(c.evicted, name)
+	})
+	return c
+}
+
+// Taint keeps the connection from being used again: something on it may be
+// outstanding.
+func (c *Conn) Taint() { c.tainted = true }
+
+// IsPrepared reports whether a statement is prepared, and marks it as used.
+func (c *Conn) IsPrepared(name string) bool {
+	_, ok := c.prepared.Get(name)
+	return ok
+}
+
+// NotePrepared notes that a statement is prepared. It returns the names that
+// have to be closed to make room.
+func (c *Conn) NotePrepared(name string) []string {
+	c.evicted = c.evicted[:0]
+	c.prepared.Add(name, struct{}{})
+	return c.evicted
+}
+
+// ForgetPrepared notes that a statement is not prepared after all.
+func (c *Conn) ForgetPrepared(name string) {
+	c.prepared.Remove(name)
+	c.evicted = c.evicted[:0]
+}
+
+// Write sends encoded messages.
+func (c *Conn) Write(b []byte) error {
+	if err := c.net.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return errors.Wrap(err, "set the deadline of a write")
+	}
+	_, err := c.net.Write(b)
+	return errors.Wrap(err, "send to the member")
+}
+
+// Receive reads a message. It returns an error for which IsTimeout holds if
+// none came within the time; reading may go on after it. A patience of 0 waits
+// without end. The message is valid until the next call.
+func (c *Conn) Receive(patience time.Duration) (pgproto3.BackendMessage, error) {
+	var deadline time.Time
+	if patience > 0 {
+		deadline = time.Now().Add(patience)
+	}
+	if err := c.net.SetReadDeadline(deadline); err != nil {
+		return nil, errors.Wrap(err, "set the deadline of a read")
+	}
+	msg, err := c.fe.Receive()
+	return msg, errors.Wrap(err, "read from the member")
+}
+
+// IsTimeout reports whether a read only took too long.
+func IsTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
+
+// Query runs a text by the simple protocol and returns the rows of its last
+// statement. A *MemberError tells that the member refused it; any other error
+// leaves the connection tainted.
+func (c *Conn) Query(ctx context.Context, sql string) ([][]string, error) {
+	if deadline, ok := ctx.Deadline(); ok {
+		if err := c.net.SetDeadline(deadline); err != nil {
+			return nil, errors.Wrap(err, "set the deadline of a query")
+		}
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.net.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	rows, err := c.query(sql)
+	var refused *MemberError
+	if err != nil && !errors.As(err, &refused) {
+		c.tainted = true
+	}
+	return rows, err
+}
+
+func (c *Conn) query(sql string) ([][]string, error) {
+	c.fe.Send(&pgproto3.Query{String: sql})
+	if err := c.fe.Flush(); err != nil {
+		return nil, errors.Wrap(err, "send a query")
+	}
+	var rows [][]string
+	var refused error
+	for {
+		msg, err := c.fe.Receive()
+		if err != nil {
+			return nil, errors.Wrap(err, "read a query's answer")
+		}
+		switch m := msg.(type) {
+		case *pgproto3.RowDescription:
+			rows = nil
+		case *pgproto3.DataRow:
+			rows = append(rows, textRow(m))
+		case *pgproto3.ErrorResponse:
+			refused = NewMemberError(m)
+		case *pgproto3.ReadyForQuery:
+			return rows, refused
+		}
+	}
+}
+
+func textRow(m *pgproto3.DataRow) []string {
+	row := make([]string, len(m.Values))
+	for i, v := range m.Values {
+		row[i] = string(v)
+	}
+	return row
+}
+
+// Close ends the connection.
+func (c *Conn) Close() { _ = c.net.Close() }
+
+// MemberError is an error that a member reported.
+type MemberError struct {
+	Code     string
+	Message  string
+	Severity string
+}
+
+// NewMemberError copies an error out of a message.
+func NewMemberError(m *pgproto3.ErrorResponse) *MemberError {
+	return &MemberError{Code: m.Code, Message: m.Message, Severity: m.Severity}
+}
+
+func (e *MemberError) Error() string { return e.Code + ": " + e.Message }
--- /dev/null
+++ b/bbrproxy/pump.go
@@ -0,0 +1,385 @@
+package bbrproxy
+
+import (
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
+
+	"github.com/bluebellroute/bluebellroute/bbrgroup"
+	"github.com/bluebellroute/bluebellroute/bbrmember"
+	"github.com/bluebellroute/bluebellroute/bbroutcome"
+	"github.com/bluebellroute/bluebellroute/bbrpool"
+)
+
+// role is the purpose of a step that is sent to a member.
+type role string
+
+// The roles. Only the answer of roleCaller goes to the caller.
+const (
+	roleSettings role = "settings"
+	roleKey      role = "key"
+	roleCaller   role = "caller"
+	roleCommit   role = "commit"
+	roleState    role = "state"
+)
+
+// expect is a reply that a member owes.
+type expect struct {
+	kind itemKind
+	// swallow keeps the reply from the caller.
+	swallow bool
+	// synthetic replies are made here: the member is not asked.
+	synthetic bool
+	stmt      *prepared
+	// callerName is the caller's name of a parsed statement.
+	callerName string
+}
+
+// step is a part of what is sent, up to one ReadyForQuery.
+type step struct {
+	role    role
+	expects []expect
+}
+
+// answer is what a member replied to all steps.
+type answer struct {
+	// status is the transaction state after the caller's step.
+	status byte
+	// refused is the member's error in the caller's step.
+	refused *bbrpool.MemberError
+	// keyRefused and commitRefused are errors in the system's own steps.
+	keyRefused    *bbrpool.MemberError
+	commitRefused *bbrpool.MemberError
+	// tag is the last command tag of the caller's step, commitTag that of the
+	// commit step.
+	tag       string
+	commitTag string
+	keyTag    string
+	state     *bbrmember.State
+	// passed is set once a part of the answer was written to the caller.
+	passed bool
+	// completed is set once the caller's step has been answered.
+	completed bool
+}
+
+// pump reads the answers of all steps from a member and encodes those of the
+// caller's step for the caller.
+type pump struct {
+	c    *session
+	conn *bbrpool.Conn
+	ans  *answer
+	// held is where in the pending output the part begins that must not be
+	// written yet. It is -1 while nothing is held.
+	held int
+	// base is where in the pending output the answer begins.
+	base int
+	// holdTags keeps command tags back: the answer acknowledges a write.
+	holdTags bool
+	// silent decides what to do about a connection that says nothing.
+	silent func() error
+	row    []string
+}
+
+// run reads the answers of the steps.
+func (p *pump) run(steps []step) error {
+	for i := range steps {
+		if err := p.step(&steps[i]); err != nil {
+			return err
+		}
+		if steps[i].role == roleCaller {
+			p.ans.completed = true
+		}
+	}
+	return nil
+}
+
+// step reads the answers of one step.
+func (p *pump) step(s *step) error {
+	failed := false
+	for i := range s.expects {
+		e := &s.expects[i]
+		if failed {
+			p.forget(e)
+			continue
+		}
+		if e.synthetic {
+			p.synthesize(e)
+			continue
+		}
+		ok, err := p.await(s.role, e)
+		if err != nil {
+			return err
+		}
+		if e.kind == itemQuery {
+			// A simple query ends with ReadyForQuery.
+			return nil
+		}
+		failed = !ok
+	}
+	return p.awaitReady(s.role)
+}
+
+// synthesize answers for the member.
+func (p *pump) synthesize(e *expect) {
+	switch e.kind {
+	case itemParse:
+		p.c.send(&pgproto3.ParseComplete{})
+	case itemCloseStatement:
+		p.c.send(&pgproto3.CloseComplete{})
+	}
+}
+
+// forget drops a statement whose Parse was skipped because of an error before
+// it.
+func (p *pump) forget(e *expect) {
+	if e.kind != itemParse || e.stmt == nil {
+		return
+	}
+	p.conn.ForgetPrepared(e.stmt.name)
+	if !e.swallow && p.c.prepared[e.callerName] == e.stmt {
+		delete(p.c.prepared, e.callerName)
+	}
+}
+
+// next reads a message. A silent connection is looked into.
+func (p *pump) next() (pgproto3.BackendMessage, error) {
+	for {
+		msg, err := p.conn.Receive(p.c.srv.opts.AnswerPatience)
+		if err == nil {
+			return msg, nil
+		}
+		if !bbrpool.IsTimeout(err) {
+			return nil, err
+		}
+		if err := p.silent(); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// await reads the replies to one message. It returns false if the member
+// refused it.
+func (p *pump) await(r role, e *expect) (bool, error) {
+	for {
+		msg, err := p.next()
+		if err != nil {
+			return false, err
+		}
+		switch m := msg.(type) {
+		case *pgproto3.ErrorResponse:
+			if e.kind == itemParse || e.stmt != nil {
+				p.forget(e)
+			}
+			if err := p.refuse(r, m); err != nil {
+				return false, err
+			}
+			if e.kind != itemQuery {
+				return false, nil
+			}
+		case *pgproto3.ReadyForQuery:
+			p.ready(r, m)
+			if e.kind != itemQuery {
+				return false, errors.New("the member was ready before it had answered")
+			}
+			return true, nil
+		case *pgproto3.NoticeResponse:
+			if r == roleCaller {
+				p.c.send(m)
+			}
+		case *pgproto3.ParameterStatus, *pgproto3.NotificationResponse:
+		case *pgproto3.CopyInResponse:
+			p.c.send(m)
+			if err := p.copyIn(); err != nil {
+				return false, err
+			}
+		default:
+			done, err := p.reply(r, e, msg)
+			if err != nil || done {
+				return true, err
+			}
+		}
+	}
+}
+
+// reply takes a message that belongs to the answer. It returns true if it ends
+// the reply to the awaited message.
+func (p *pump) reply(r role, e *expect, msg pgproto3.BackendMessage) (bool, error) {
+	if r != roleCaller || e.swallow {
+		return p.swallow(r, e, msg), nil
+	}
+	switch m := msg.(type) {
+	case *pgproto3.CommandComplete:
+		p.ans.tag = string(m.CommandTag)
+		if p.holdTags && p.held < 0 {
+			p.held = len(p.c.out)
+		}
+		p.c.send(m)
+		return e.kind == itemExecute, nil
+	case *pgproto3.DataRow, *pgproto3.CopyData:
+		p.c.send(m)
+		return false, p.relieve()
+	case *pgproto3.RowDescription, *pgproto3.NoData:
+		p.c.send(m)
+		return e.kind == itemDescribePortal || e.kind == itemDescribeStatement, nil
+	case *pgproto3.EmptyQueryResponse, *pgproto3.PortalSuspended:
+		p.c.send(m)
+		return e.kind == itemExecute, nil
+	case *pgproto3.ParseComplete, *pgproto3.BindComplete, *pgproto3.CloseComplete:
+		p.c.send(m)
+		return true, nil
+	case *pgproto3.ParameterDescription, *pgproto3.CopyOutResponse, *pgproto3.CopyDone:
+		p.c.send(m)
+		return false, nil
+	}
+	return false, errors.Errorf("unexpected message %T from the member", msg)
+}
+
+// swallow takes a message of the system's own steps.
+func (p *pump) swallow(r role, e *expect, msg pgproto3.BackendMessage) bool {
+	switch m := msg.(type) {
+	case *pgproto3.CommandComplete:
+		switch r {
+		case roleCommit:
+			p.ans.commitTag = string(m.CommandTag)
+		case roleKey:
+			p.ans.keyTag = string(m.CommandTag)
+		}
+	case *pgproto3.DataRow:
+		if r == roleState {
+			p.takeState(m)
+		}
+	case *pgproto3.ParseComplete, *pgproto3.CloseComplete:
+		return e.kind != itemQuery
+	}
+	return false
+}
+
+// takeState reads the member's state.
+func (p *pump) takeState(m *pgproto3.DataRow) {
+	p.row = p.row[:0]
+	for _, v := range m.Values {
+		p.row = append(p.row, string(v))
+	}
+	if st, err := bbrgroup.ParseStateRow(p.row); err == nil {
+		p.ans.state = &st
+	}
+}
+
+// refuse takes an error of the member.
+func (p *pump) refuse(r role, m *pgproto3.ErrorResponse) error {
+	e := bbrpool.NewMemberError(m)
+	if strings.EqualFold(e.Severity, "FATAL") || strings.EqualFold(e.Severity, "PANIC") {
+		return errors.Wrap(e, "the member ended the connection")
+	}
+	switch r {
+	case roleCaller:
+		p.ans.refused = e
+		p.c.send(m)
+	case roleKey:
+		p.ans.keyRefused = e
+	case roleCommit:
+		p.ans.commitRefused = e
+	}
+	return nil
+}
+
+// ready takes the end of a step.
+func (p *pump) ready(r role, m *pgproto3.ReadyForQuery) {
+	if r == roleCaller {
+		p.ans.status = m.TxStatus
+	}
+}
+
+// awaitReady reads up to the end of a step.
+func (p *pump) awaitReady(r role) error {
+	for {
+		msg, err := p.next()
+		if err != nil {
+			return err
+		}
+		switch m := msg.(type) {
+		case *pgproto3.ReadyForQuery:
+			p.ready(r, m)
+			return nil
+		case *pgproto3.ErrorResponse:
+			// A deferred error at the end of an implicit transaction.
+			if err := p.refuse(r, m); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// relieve writes what need not be kept back once it has become large.
+func (p *pump) relieve() error {
+	if len(p.c.out)-p.base < holdLimit {
+		return nil
+	}
+	end := len(p.c.out)
+	if p.held >= 0 {
+		end = p.held
+	}
+	if end == 0 {
+		return nil
+	}
+	rest := append([]byte(nil), p.c.out[end:]...)
+	p.c.out = p.c.out[:end]
+	if err := p.c.flush(); err != nil {
+		return err
+	}
+	p.ans.passed = true
+	p.c.out = append(p.c.out, rest...)
+	if p.held >= 0 {
+		p.held = 0
+	}
+	p.base = 0
+	return nil
+}
+
+// withdraw takes back what has not been written of the answer, from the first
+// held tag on, or all of it.
+func (p *pump) withdraw() {
+	switch {
+	case p.held >= 0:
+		p.c.out = p.c.out[:p.held]
+	case !p.ans.passed:
+		p.c.out = p.c.out[:p.base]
+	default:
+		p.c.out = p.c.out[:0]
+	}
+}
+
+// copyIn passes the caller's data on until it ends.
+func (p *pump) copyIn() error {
+	if err := p.c.flush(); err != nil {
+		return err
+	}
+	p.ans.passed = true
+	p.base = 0
+	var buf []byte
+	for {
+		msg, err := p.c.receive(false)
+		if err != nil {
+			return err
+		}
+		switch m := msg.(type) {
+		case *pgproto3.CopyData:
+			if buf, err = m.Encode(buf[:0]); err != nil {
+				return errors.Wrap(err, "encode data of a COPY")
+			}
+		case *pgproto3.CopyDone, *pgproto3.CopyFail:
+			if buf, err = m.(pgproto3.FrontendMessage).Encode(buf[:0]); err != nil {
+				return errors.Wrap(err, "encode the end of a COPY")
+			}
+			return p.conn.Write(buf)
+		case *pgproto3.Flush, *pgproto3.Sync:
+			continue
+		default:
+			return bbroutcome.New(bbroutcome.ReasonProtocol, "unexpected message %T during COPY", msg)
+		}
+		if err := p.conn.Write(buf); err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/bbrproxy/read.go
@@ -0,0 +1,487 @@
+package bbrproxy
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bluebellroute/bluebellroute/bbrconfig"
+	"github.com/bluebellroute/bluebellroute/bbrgroup"
+	"github.com/bluebellroute/bluebellroute/bbrjournal"
+	"github.com/bluebellroute/bluebellroute/bbrmember"
+	"github.com/bluebellroute/bluebellroute/bbrmetric"
+	"github.com/bluebellroute/bluebellroute/bbroutcome"
+	"github.com/bluebellroute/bluebellroute/bbrpool"
+	"github.com/bluebellroute/bluebellroute/bbrroute"
+	"github.com/bluebellroute/bluebellroute/bbrtoken"
+	"github.com/bluebellroute/bluebellroute/bbrtype"
+)
+
+const (
+	// maxReadRetries bounds how often a read is sent to another member.
+	maxReadRetries = 3
+	// gatePause is the pause between two looks at the view.
+	gatePause = 20 * time.Millisecond
+	// systemQueue bounds the waiting statements of the system's own.
+	systemQueue = 1000
+	// codeReadOnly is the SQLSTATE of a replica that is asked to write.
+	codeReadOnly = "25006"
+)
+
+// errStale tells that a member did not show what the read needs.
+var errStale = errors.New("the member is behind what the caller has seen")
+
+// settleToken makes sure that the session's token can be compared with the
+// present history. A position that was lost in a change of primary is reported
+// once.
+func (c *session) settleToken(r *request) error {
+	if c.token.IsZero() {
+		return nil
+	}
+	if c.token.Group != r.group.Name {
+		c.token, c.positionKnown = bbrtoken.Token{}, false
+		return nil
+	}
+	for {
+		g := c.srv.deps.Registry.View().Group(r.group.Name)
+		fate := bbrjournal.FateAhead
+		if g != nil {
+			fate = g.Fate(c.token.Term, c.token.Position)
+		}
+		switch fate {
+		case bbrjournal.FateKept:
+			return nil
+		case bbrjournal.FateLost:
+			lost := c.token
+			c.token, c.positionKnown = bbrtoken.Token{}, false
+			return bbroutcome.New(bbroutcome.ReasonPositionLost, "position %s of term %d was lost in a change of primary", lost.Position, lost.Term)
+		case bbrjournal.FateUnknown:
+			c.token, c.positionKnown = bbrtoken.Token{}, false
+			return nil
+		}
+		if !c.pause(r.deadline, gatePause) {
+			return bbroutcome.New(bbroutcome.ReasonNoMember, "this instance does not know term %d yet", c.token.Term)
+		}
+	}
+}
+
+// routing returns what the read needs from its member.
+func (c *session) routing(r *request) bbrroute.Request {
+	q := bbrroute.Request{Position: c.token.Position, SeenAt: c.seenAt, Avoid: r.avoid, PrimaryOnly: true}
+	if p := r.policy; p != nil && p.Replicas == bbrconfig.ReplicasPrefer {
+		q.PrimaryOnly = false
+		q.MaxAge, q.CatchUpWait = p.MaxAge, p.CatchUpWait
+	}
+	return q
+}
+
+// serveRead runs a read on a replica, or on the primary.
+func (c *session) serveRead(r *request) (bbrmetric.Target, error) {
+	waitUntil := bbrtype.Mono(0)
+	for {
+		q := c.routing(r)
+		if err := c.learnPosition(r, &q); err != nil {
+			return "", err
+		}
+		d, err := c.chooseMember(r, q)
+		if err != nil {
+			return "", err
+		}
+		now := c.srv.deps.Clock.Now()
+		if d.Target == bbrroute.TargetWait {
+			if waitUntil == 0 {
+				waitUntil = now.Add(max(q.CatchUpWait, d.For))
+			}
+			if now < waitUntil {
+				c.awaitReplica(r, waitUntil.Sub(now))
+				continue
+			}
+			d = bbrroute.Decision{Target: bbrroute.TargetPrimary}
+		}
+		target := bbrmetric.TargetReplica
+		if d.Target == bbrroute.TargetReplica {
+			err = c.readReplica(r, d.Member, q)
+		} else {
+			target = bbrmetric.TargetPrimary
+			err = c.readPrimary(r, q)
+		}
+		if err == nil {
+			c.srv.deps.Metrics.Read(r.group.Name, target)
+			return target, nil
+		}
+		if err := c.mayRetryRead(r, err); err != nil {
+			return "", err
+		}
+		if d.Target == bbrroute.TargetReplica {
+			r.avoid = append(r.avoid, d.Member)
+		}
+	}
+}
+
+// awaitReplica waits until something new is known of a replica.
+func (c *session) awaitReplica(r *request, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(c.srv.ctx, limit)
+	defer cancel()
+	r.group.AwaitMove(ctx)
+}
+
+// chooseMember picks the member for a read.
+func (c *session) chooseMember(r *request, q bbrroute.Request) (bbrroute.Decision, error) {
+	g := c.srv.deps.Registry.View().Group(r.group.Name)
+	if g == nil {
+		return bbrroute.Decision{}, bbroutcome.New(bbroutcome.ReasonNoMember, "the journal does not know group %q yet", r.group.Name)
+	}
+	switch c.srv.opts.Baseline {
+	case BaselinePrimary:
+		return bbrroute.Decision{Target: bbrroute.TargetPrimary}, nil
+	case BaselineRandom:
+		if m, ok := randomReplica(g, r.avoid); ok {
+			return bbrroute.Decision{Target: bbrroute.TargetReplica, Member: m}, nil
+		}
+	}
+	return r.group.Tracker.Choose(c.srv.deps.Clock.Now(), g, q), nil
+}
+
+// mayRetryRead tells whether a read that failed may be sent to another member.
+// It returns the error for the caller if not.
+func (c *session) mayRetryRead(r *request, err error) error {
+	var told *bbroutcome.Error
+	if errors.As(err, &told) {
+		return err
+	}
+	now := c.srv.deps.Clock.Now()
+	r.retries++
+	if r.retries > maxReadRetries+len(r.avoid) && now >= r.deadline || r.retries > 100 {
+		return bbroutcome.New(bbroutcome.ReasonNoMember, "no member answered the read: %v", err)
+	}
+	if now >= r.deadline {
+		return bbroutcome.New(bbroutcome.ReasonNoMember, "no member answered the read in time: %v", err)
+	}
+	if !errors.Is(err, errStale) {
+		c.srv.deps.Metrics.Retried(c.tenant)
+	}
+	if r.retries > maxReadRetries {
+		r.avoid = nil
+		c.pause(r.deadline, bbrpool.Jitter(gatePause))
+	}
+	return nil
+}
+
+// readReplica runs a read on a replica and checks, by the state that the
+// replica reports after it, that it showed enough.
+func (c *session) readReplica(r *request, m bbrtype.MemberName, q bbrroute.Request) error {
+	pool := r.group.Pool(m)
+	if pool == nil {
+		return errStale
+	}
+	conn, err := c.acquire(r, pool)
+	if err != nil {
+		return err
+	}
+	g := c.srv.deps.Registry.View().Group(r.group.Name)
+	if c.srv.opts.Baseline == BaselineNone {
+		// The wait for a connection may have been long.
+		if st := c.stillServes(r, g, m, q); !st {
+			pool.Release(conn, 0)
+			return errStale
+		}
+	}
+	check := func(st *bbrmember.State) error {
+		if c.srv.opts.Baseline == BaselineRandom {
+			return nil
+		}
+		if st == nil || g == nil || !r.group.Tracker.Serves(c.srv.deps.Clock.Now(), g, *st, q) {
+			return errStale
+		}
+		if l, ok := g.Last(); ok {
+			c.raise(bbrtoken.Token{Group: r.group.Name, Term: l.Term, Position: st.Position})
+		}
+		return nil
+	}
+	return c.runRead(r, pool, conn, m, true, check)
+}
+
+// stillServes reports whether what is known of a replica still meets the read.
+func (c *session) stillServes(r *request, g *bbrjournal.Group, m bbrtype.MemberName, q bbrroute.Request) bool {
+	if g == nil {
+		return false
+	}
+	age, ok := r.group.Tracker.AgeOf(c.srv.deps.Clock.Now(), g, m)
+	return ok && age <= q.MaxAge
+}
+
+// readPrimary runs a read on the primary.
+func (c *session) readPrimary(r *request, q bbrroute.Request) error {
+	l, pool, err := c.awaitPrimary(r, q.MaxAge)
+	if err != nil {
+		return err
+	}
+	conn, err := c.acquire(r, pool)
+	if err != nil {
+		return err
+	}
+	check := func(st *bbrmember.State) error {
+		now := c.srv.deps.Clock.Now()
+		v := c.srv.deps.Registry.View()
+		if !isPrimaryNow(v, r.group.Name, l, now, q.MaxAge) || st == nil || !st.Primary || st.History != l.History {
+			return errStale
+		}
+		c.raise(bbrtoken.Token{Group: r.group.Name, Term: l.Term, Position: st.Position})
+		return nil
+	}
+	return c.runRead(r, pool, conn, l.Member, false, check)
+}
+
+// isPrimaryNow reports whether a member was the primary of a term until no more
+// than maxAge ago.
+func isPrimaryNow(v *bbrgroup.View, name bbrtype.GroupName, l bbrjournal.Lineage, now bbrtype.Mono, maxAge time.Duration) bool {
+	g := v.Group(name)
+	if g == nil || now >= v.Until.Add(maxAge) {
+		return false
+	}
+	cur, ok := g.Primary()
+	return ok && cur.Term == l.Term && cur.Member == l.Member
+}
+
+// awaitPrimary waits until the group has a primary that this instance may
+// rely on.
+func (c *session) awaitPrimary(r *request, maxAge time.Duration) (bbrjournal.Lineage, *bbrpool.Pool, error) {
+	for {
+		v := c.srv.deps.Registry.View()
+		if g := v.Group(r.group.Name); g != nil {
+			if l, ok := g.Primary(); ok && c.srv.deps.Clock.Now() < v.Until.Add(maxAge) {
+				if pool := r.group.Pool(l.Member); pool != nil {
+					return l, pool, nil
+				}
+			}
+		}
+		if !c.pause(r.deadline, gatePause) {
+			return bbrjournal.Lineage{}, nil, bbroutcome.New(bbroutcome.ReasonNoPrimary, "group %q has no primary that this instance may use", r.group.Name)
+		}
+	}
+}
+
+// acquire takes a connection and turns the pool's errors into the caller's.
+func (c *session) acquire(r *request, pool *bbrpool.Pool) (*bbrpool.Conn, error) {
+	before := c.srv.deps.Clock.Now()
+	conn, err := pool.Acquire(c.srv.ctx, r.ticket())
+	c.srv.series.of(c.srv.deps.Metrics, c.tenant, r.class).Queued(c.srv.deps.Clock.Now().Sub(before))
+	switch {
+	case err == nil:
+		return conn, nil
+	case errors.Is(err, bbrpool.ErrTurnedAway):
+		return nil, bbroutcome.New(bbroutcome.ReasonOverload, "%d statements of tenant %q wait for member %q", r.tenant.Queue, r.tenant.Name, pool.Ref().Member)
+	case errors.Is(err, bbrpool.ErrPatience):
+		return nil, bbroutcome.New(bbroutcome.ReasonPatience, "no connection to member %q became free within %v", pool.Ref().Member, r.tenant.Patience)
+	}
+	r.group.Tracker.Failed(c.srv.deps.Clock.Now(), pool.Ref().Member)
+	return nil, err
+}
+
+// runRead sends a read with a look at the member's state behind it, and passes
+// the answer on if the check finds it good.
+func (c *session) runRead(r *request, pool *bbrpool.Pool, conn *bbrpool.Conn, m bbrtype.MemberName, replica bool, check func(*bbrmember.State) error) error {
+	begins := r.batch.info.Control != ""
+	p := c.newPlan(conn)
+	p.addBatch(r.batch, conn)
+	if !begins {
+		p.addQuery(roleState, r.group.Config().StateSQL)
+	}
+	pm := c.newPump(conn, c.silentCheck(r.group, pool, conn, m))
+	sentAt := c.srv.deps.Clock.Now()
+	r.group.Tracker.Started(m)
+	err := c.exchange(p, conn, pool.Endpoint().Address, pm)
+	took := c.srv.deps.Clock.Now().Sub(sentAt)
+	r.group.Tracker.Ended(m, took)
+	if err != nil {
+		pool.Discard(conn)
+		c.connectionLost(r.group, m, err)
+		return c.readFailed(pm, err)
+	}
+	c.answered(r.group, m)
+	if begins {
+		c.hold(r, pool, conn, m, pm, replica, took)
+		return nil
+	}
+	if pm.ans.status != txIdle {
+		// The text began a transaction after all.
+		conn.Taint()
+	}
+	pool.Release(conn, took)
+	if pm.ans.state != nil {
+		r.group.Observe(m, *pm.ans.state, sentAt)
+	}
+	if pm.ans.refused != nil && replica && pm.ans.refused.Code == codeReadOnly {
+		// A statement taken for a read writes: the primary runs it.
+		return c.readFailed(pm, errStale)
+	}
+	if pm.ans.refused != nil && pm.ans.state == nil {
+		return nil
+	}
+	if err := check(pm.ans.state); err != nil {
+		return c.readFailed(pm, err)
+	}
+	return nil
+}
+
+// readFailed takes back an answer. If a part of it was written already, the
+// caller has to be told.
+func (c *session) readFailed(pm *pump, err error) error {
+	pm.withdraw()
+	if pm.ans.passed {
+		return bbroutcome.New(bbroutcome.ReasonCutShort, "the answer was cut short: %v", err)
+	}
+	return err
+}
+
+// connectionLost notes that a connection broke.
+func (c *session) connectionLost(g *bbrgroup.Group, m bbrtype.MemberName, err error) {
+	now := c.srv.deps.Clock.Now()
+	g.Tracker.Failed(now, m)
+	g.Tracker.Forget(m)
+	if ref := (bbrmember.Ref{Group: g.Name, Member: m}); c.srv.deps.Evidence != nil {
+		c.srv.deps.Evidence.MemberFailed(ref, bbrpool.FailureKind(err))
+	}
+}
+
+func (c *session) answered(g *bbrgroup.Group, m bbrtype.MemberName) {
+	if c.srv.deps.Evidence != nil {
+		c.srv.deps.Evidence.MemberAnswered(bbrmember.Ref{Group: g.Name, Member: m})
+	}
+}
+
+// raise moves the token forward.
+func (c *session) raise(t bbrtoken.Token) {
+	next := c.token
+	if next.Group != t.Group {
+		next = bbrtoken.Token{}
+	}
+	next = next.Max(t)
+	c.positionKnown = true
+	if next != c.token {
+		c.token = next
+		c.seenAt = c.srv.deps.Clock.Now()
+	}
+}
+
+// learnPosition gives a session that brought no token the primary's present
+// position as its token, because it may have written by another instance.
+func (c *session) learnPosition(r *request, q *bbrroute.Request) error {
+	if c.positionKnown || q.PrimaryOnly || c.srv.opts.Baseline != BaselineNone {
+		return nil
+	}
+	t, err := c.srv.positions.read(c, r)
+	if err != nil {
+		return err
+	}
+	c.raise(t)
+	q.Position = c.token.Position
+	return nil
+}
+
+// positionReads shares reads of a primary's position between sessions: one
+// that begins after a session asked serves it.
+type positionReads struct {
+	mu   sync.Mutex
+	runs map[bbrtype.GroupName]*positionRun
+}
+
+// positionRun is one read of a primary's position, and the one after it.
+type positionRun struct {
+	done  chan struct{}
+	token bbrtoken.Token
+	err   error
+	next  *positionRun
+}
+
+// read returns the primary's position at a time after the call.
+func (p *positionReads) read(c *session, r *request) (bbrtoken.Token, error) {
+	p.mu.Lock()
+	if p.runs == nil {
+		p.runs = map[bbrtype.GroupName]*positionRun{}
+	}
+	cur := p.runs[r.group.Name]
+	if cur != nil {
+		// The present read may have begun too early: the next one serves.
+		if cur.next != nil {
+			next := cur.next
+			p.mu.Unlock()
+			return next.wait()
+		}
+		cur.next = &positionRun{done: make(chan struct{})}
+		next := cur.next
+		p.mu.Unlock()
+		<-cur.done
+		return p.lead(c, r, next)
+	}
+	run := &positionRun{done: make(chan struct{})}
+	p.runs[r.group.Name] = run
+	p.mu.Unlock()
+	return p.lead(c, r, run)
+}
+
+func (run *positionRun) wait() (bbrtoken.Token, error) {
+	<-run.done
+	return run.token, run.err
+}
+
+// lead runs a read for all that wait for it.
+func (p *positionReads) lead(c *session, r *request, run *positionRun) (bbrtoken.Token, error) {
+	p.mu.Lock()
+	p.runs[r.group.Name] = run
+	p.mu.Unlock()
+	run.token, run.err = c.primaryPosition(r)
+	p.mu.Lock()
+	if run.next == nil {
+		delete(p.runs, r.group.Name)
+	}
+	p.mu.Unlock()
+	close(run.done)
+	return run.token, run.err
+}
+
+// primaryPosition reads the primary's position.
+func (c *session) primaryPosition(r *request) (bbrtoken.Token, error) {
+	for {
+		t, err := c.tryPrimaryPosition(r)
+		var told *bbroutcome.Error
+		if err == nil || errors.As(err, &told) {
+			return t, err
+		}
+		if !c.pause(r.deadline, gatePause) {
+			return t, bbroutcome.New(bbroutcome.ReasonNoPrimary, "the primary's position is unknown: %v", err)
+		}
+	}
+}
+
+func (c *session) tryPrimaryPosition(r *request) (bbrtoken.Token, error) {
+	l, pool, err := c.awaitPrimary(r, 0)
+	if err != nil {
+		return bbrtoken.Token{}, err
+	}
+	t := r.ticket()
+	t.Priority, t.Queue = 0, systemQueue
+	conn, err := pool.Acquire(c.srv.ctx, t)
+	if err != nil {
+		return bbrtoken.Token{}, err
+	}
+	ctx, cancel := context.WithTimeout(c.srv.ctx, c.srv.opts.AnswerPatience)
+	defer cancel()
+	sentAt := c.srv.deps.Clock.Now()
+	rows, err := conn.Query(ctx, r.group.Config().StateSQL)
+	pool.Release(conn, c.srv.deps.Clock.Now().Sub(sentAt))
+	if err != nil {
+		return bbrtoken.Token{}, err
+	}
+	st, err := bbrgroup.ParseState(rows)
+	if err != nil {
+		return bbrtoken.Token{}, err
+	}
+	if !st.Primary || st.History != l.History || !isPrimaryNow(c.srv.deps.Registry.View(), r.group.Name, l, sentAt, 0) {
+		return bbrtoken.Token{}, errStale
+	}
+	r.group.Observe(l.Member, st, sentAt)
+	return bbrtoken.Token{Group: r.group.Name, Term: l.Term, Position: st.Position}, nil
+}
--- /dev/null
+++ b/bbrproxy/transaction.go
@@ -0,0 +1,129 @@
+package bbrproxy
+
+import (
+	"time"
+
+	"github.com/bluebellroute/bluebellroute/bbrgroup"
+	"github.com/bluebellroute/bluebellroute/bbrjournal"
+	"github.com/bluebellroute/bluebellroute/bbrmetric"
+	"github.com/bluebellroute/bluebellroute/bbroutcome"
+	"github.com/bluebellroute/bluebellroute/bbrpool"
+	"github.com/bluebellroute/bluebellroute/bbrstatement"
+	"github.com/bluebellroute/bluebellroute/bbrtype"
+)
+
+// transaction is a member's connection that a session holds until the
+// transaction ends.
+type transaction struct {
+	group   *bbrgroup.Group
+	pool    *bbrpool.Pool
+	conn    *bbrpool.Conn
+	member  bbrtype.MemberName
+	lineage bbrjournal.Lineage
+	replica bool
+	status  byte
+	wrote   bool
+	// paused is set while no statement of the transaction is at work.
+	paused bool
+}
+
+// hold keeps a connection for a transaction that began.
+func (c *session) hold(r *request, pool *bbrpool.Pool, conn *bbrpool.Conn, m bbrtype.MemberName, pm *pump, replica bool, took time.Duration) {
+	if pm.ans.status == txIdle {
+		pool.Release(conn, took)
+		return
+	}
+	c.tx = &transaction{
+		group: r.group, pool: pool, conn: conn, member: m, replica: replica, status: pm.ans.status, paused: true,
+		wrote: r.batch.info.Kind == bbrstatement.KindWrite,
+	}
+	pool.Pause(took)
+}
+
+// resume counts a statement that goes to work.
+func (t *transaction) resume() {
+	if t.paused {
+		t.pool.Resume()
+		t.paused = false
+	}
+}
+
+// dropTransaction ends a transaction without a commit: the member rolls it
+// back when its connection closes.
+func (c *session) dropTransaction() {
+	c.tx.pool.Discard(c.tx.conn)
+	c.tx = nil
+}
+
+// serveInTransaction runs a batch on the connection that the transaction holds.
+func (c *session) serveInTransaction(r *request) (bbrmetric.Target, error) {
+	t := c.tx
+	target := bbrmetric.TargetPrimary
+	if t.replica {
+		target = bbrmetric.TargetReplica
+	}
+	b := r.batch
+	ends := b.info.HasControl && b.info.Control != bbrstatement.ControlOther
+	commits := ends && b.info.Control != bbrstatement.ControlRollback
+	t.wrote = t.wrote || b.info.Kind == bbrstatement.KindWrite
+	t.resume()
+	p := c.newPlan(t.conn)
+	withKey := r.key != "" && commits && t.status == txActive && !t.replica
+	if withKey {
+		p.addQuery(roleKey, insertKeySQL(c.tenant, r.key, fingerprint(r.batch)))
+	}
+	p.addBatch(b, t.conn)
+	if commits && !t.replica {
+		p.addQuery(roleState, t.group.Config().StateSQL)
+	}
+	pm := c.newPump(t.conn, c.silentCheck(t.group, t.pool, t.conn, t.member))
+	pm.holdTags = commits && !t.replica
+	sentAt := c.srv.deps.Clock.Now()
+	err := c.exchange(p, t.conn, t.pool.Endpoint().Address, pm)
+	took := c.srv.deps.Clock.Now().Sub(sentAt)
+	if err != nil {
+		return target, c.transactionLost(r, pm, commits, err)
+	}
+	t.status = pm.ans.status
+	if t.status != txIdle {
+		t.paused = true
+		t.pool.Pause(took)
+		return target, nil
+	}
+	c.tx = nil
+	t.pool.Release(t.conn, took)
+	return target, c.transactionEnded(r, t, pm, sentAt, withKey)
+}
+
+// transactionEnded decides what the caller is told after a transaction has
+// ended on the member.
+func (c *session) transactionEnded(r *request, t *transaction, pm *pump, sentAt bbrtype.Mono, withKey bool) error {
+	if withKey && pm.ans.keyRefused != nil {
+		pm.withdraw()
+		return c.keyRefused(r, pm.ans.keyRefused)
+	}
+	if t.replica || !t.wrote || pm.ans.refused != nil || pm.ans.tag == "ROLLBACK" {
+		return nil
+	}
+	return c.acknowledge(t.group, t.lineage, pm, sentAt, withKey)
+}
+
+// transactionLost tells what became of a transaction whose connection broke.
+// Before COMMIT was sent it can't be committed.
+func (c *session) transactionLost(r *request, pm *pump, commits bool, err error) error {
+	t := c.tx
+	pm.withdraw()
+	c.dropTransaction()
+	c.connectionLost(t.group, t.member, err)
+	if !commits {
+		c.aborted = true
+		return bbroutcome.New(bbroutcome.ReasonRolledBack, "the connection to member %q broke within the transaction", t.member)
+	}
+	if t.replica || !t.wrote {
+		return bbroutcome.New(bbroutcome.ReasonRolledBack, "the connection to member %q broke at the end of the transaction, which wrote nothing", t.member)
+	}
+	if r.key != "" {
+		return c.resolve(r, 0)
+	}
+	return bbroutcome.New(bbroutcome.ReasonUnknown, "the connection to the primary broke before the commit's result was known: %v", err)
+}
--- /dev/null
+++ b/bbrrendezvous/rendezvous.go
@@ -0,0 +1,67 @@
+// Package bbrrendezvous picks instances for a key by rendezvous hashing: all
+// instances that know the same set pick the same ones, and a change of the set
+// moves few keys.
+//
+// # Usage
+//
+//	probers := bbrrendezvous.Top("billing/m1", ids, 3)
+package bbrrendezvous
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bluebellroute/bluebellroute/bbrtype"
+)
+
+// Top returns the n ids that rank highest for a key, best first.
+func Top(key string, ids []bbrtype.InstanceID, n int) []bbrtype.InstanceID {
+	type scored struct {
+		id    bbrtype.InstanceID
+		score uint64
+	}
+	all := make([]scored, len(ids))
+	for i, id := range ids {
+		all[i] = scored{id, score(key, id)}
+	}
+	sort.Slice(all, func(i, j int) bool {
+		if all[i].score != all[j].score {
+			return all[i].score > all[j].score
+		}
+		return all[i].id < all[j].id
+	})
+	n = min(n, len(all))
+	out := make([]bbrtype.InstanceID, n)
+	for i := range out {
+		out[i] = all[i].id
+	}
+	return out
+}
+
+// Contains reports whether an id is among the n that rank highest for a key.
+// It costs no allocation.
+func Contains(key string, ids []bbrtype.InstanceID, n int, id bbrtype.InstanceID) bool {
+	own := score(key, id)
+	better := 0
+	found := false
+	for _, other := range ids {
+		if other == id {
+			found = true
+			continue
+		}
+		if s := score(key, other); s > own || (s == own && other < id) {
+			better++
+		}
+	}
+	return found && better < n
+}
+
+func score(key string, id bbrtype.InstanceID) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(string(id))
+	return d.Sum64()
+}
--- /dev/null
+++ b/bbrstatement/session.go
@@ -0,0 +1,90 @@
+package bbrstatement
+
+import (
+	"regexp"
+	"strconv"
+	"strings"
+
+	pgquery "github.com/pganalyze/pg_query_go/v6"
+	"github.com/pkg/errors"
+)
+
+// settingAll stands for all settings.
+const settingAll = "all"
+
+// MaxRequestKey bounds a request key, in bytes.
+const MaxRequestKey = 200
+
+var (
+	keyComment = regexp.MustCompile(`^\s*/\*\s*bbr\s+requestKey=([^*]*)\*/`)
+	keyText    = regexp.MustCompile(`^[\x21-\x7e]+$`)
+)
+
+// requestKeyOf reads the key from a comment at the start of a text, such as
+// /* bbr requestKey=meter-17-2026-12 */.
+func requestKeyOf(text string) (string, error) {
+	m := keyComment.FindStringSubmatch(text)
+	if m == nil {
+		return "", nil
+	}
+	key := strings.TrimSpace(m[1])
+	return key, CheckRequestKey(key)
+}
+
+// CheckRequestKey tells whether a text can serve as a request key.
+func CheckRequestKey(key string) error {
+	if len(key) > MaxRequestKey || !keyText.MatchString(key) {
+		return errors.Errorf("request key %q: expected 1 to %d printable characters without spaces", key, MaxRequestKey)
+	}
+	return nil
+}
+
+// classifySet tells what a SET or RESET changes.
+func classifySet(s *pgquery.VariableSetStmt) Info {
+	name := strings.ToLower(s.GetName())
+	if s.GetIsLocal() || strings.HasPrefix(name, "transaction") {
+		return Info{Kind: KindControl, Control: ControlOther}
+	}
+	change := SessionChange{Name: name}
+	switch s.GetKind() {
+	case pgquery.VariableSetKind_VAR_SET_VALUE:
+		value, err := setValue(s.GetArgs())
+		if err != nil {
+			return refused(err.Error())
+		}
+		change.Value = value
+	case pgquery.VariableSetKind_VAR_SET_DEFAULT, pgquery.VariableSetKind_VAR_RESET:
+		change.Reset = true
+	case pgquery.VariableSetKind_VAR_RESET_ALL:
+		change.Name, change.Reset = settingAll, true
+	case pgquery.VariableSetKind_VAR_SET_MULTI:
+		return refused("SET SESSION CHARACTERISTICS is not carried by pooled connections")
+	default:
+		return refused("this form of SET is not carried by pooled connections")
+	}
+	if change.Name == "role" || change.Name == "session_authorization" {
+		return refused("SET ROLE is not carried by pooled connections")
+	}
+	return Info{Kind: KindSession, Session: change}
+}
+
+// setValue returns the value of a SET as text.
+func setValue(args []*pgquery.Node) (string, error) {
+	parts := make([]string, len(args))
+	for i, a := range args {
+		c := a.GetAConst()
+		switch v := c.GetVal().(type) {
+		case *pgquery.A_Const_Sval:
+			parts[i] = v.Sval.GetSval()
+		case *pgquery.A_Const_Ival:
+			parts[i] = strconv.Itoa(int(v.Ival.GetIval()))
+		case *pgquery.A_Const_Fval:
+			parts[i] = v.Fval.GetFval()
+		case *pgquery.A_Const_Boolval:
+			parts[i] = strconv.FormatBool(v.Boolval.GetBoolval())
+		default:
+			return "", errors.New("SET takes constants only")
+		}
+	}
+	return strings.Join(parts, ", "), nil
+}
--- /dev/null
+++ b/bbrstatement/walk.go
@@ -0,0 +1,91 @@
+package bbrstatement
+
+import (
+	"strings"
+
+	pgquery "github.com/pganalyze/pg_query_go/v6"
+	"google.golang.org/protobuf/reflect/protoreflect"
+)
+
+// readFunctions are the functions that are known not to write.
+var readFunctions = setOf(
+	"abs", "age", "array_agg", "avg", "bool_and", "bool_or", "btrim", "cardinality", "ceil", "ceiling", "char_length",
+	"clock_timestamp", "coalesce", "concat", "concat_ws", "count", "current_database", "current_schema", "date_part",
+	"date_trunc", "dense_rank", "every", "extract", "first_value", "floor", "format", "generate_series", "greatest",
+	"initcap", "json_agg", "json_build_object", "jsonb_agg", "jsonb_build_object", "lag", "last_value", "lead", "least",
+	"left", "length", "lower", "lpad", "ltrim", "make_date", "max", "md5", "min", "mod", "now", "nullif",
+	"pg_current_wal_lsn", "pg_is_in_recovery", "pg_last_wal_receive_lsn", "pg_last_wal_replay_lsn", "pg_sleep",
+	"pg_typeof", "position", "power", "random", "rank", "regexp_replace", "repeat", "replace", "reverse", "right",
+	"round", "row_number", "row_to_json", "rpad", "rtrim", "sign", "split_part", "sqrt", "stddev", "string_agg",
+	"strpos", "substr", "substring", "sum", "to_char", "to_date", "to_json", "to_jsonb", "to_number", "to_timestamp",
+	"trim", "trunc", "unnest", "upper", "variance", "version",
+)
+
+func setOf(names ...string) map[string]bool {
+	out := make(map[string]bool, len(names))
+	for _, n := range names {
+		out[n] = true
+	}
+	return out
+}
+
+// walker looks through a statement's tree for anything that writes.
+type walker struct {
+	writes  bool
+	tables  []string
+	refused string
+}
+
+// walk visits a message and all messages in it.
+func (w *walker) walk(m protoreflect.Message) {
+	w.visit(m.Interface())
+	m.Range(func(f protoreflect.FieldDescriptor, v protoreflect.Value) bool {
+		if f.Kind() != protoreflect.MessageKind {
+			return true
+		}
+		if f.IsList() {
+			for i := range v.List().Len() {
+				w.walk(v.List().Get(i).Message())
+			}
+			return true
+		}
+		w.walk(v.Message())
+		return true
+	})
+}
+
+func (w *walker) visit(m any) {
+	switch n := m.(type) {
+	case *pgquery.InsertStmt:
+		w.write(n.GetRelation())
+	case *pgquery.UpdateStmt:
+		w.write(n.GetRelation())
+	case *pgquery.DeleteStmt:
+		w.write(n.GetRelation())
+	case *pgquery.MergeStmt:
+		w.write(n.GetRelation())
+	case *pgquery.IntoClause, *pgquery.LockingClause:
+		w.writes = true
+	case *pgquery.FuncCall:
+		w.call(n)
+	}
+}
+
+func (w *walker) write(r *pgquery.RangeVar) {
+	w.writes = true
+	w.tables = append(w.tables, r.GetRelname())
+}
+
+func (w *walker) call(f *pgquery.FuncCall) {
+	names := f.GetFuncname()
+	name := strings.ToLower(names[len(names)-1].GetString_().GetSval())
+	if strings.HasPrefix(name, "pg_advisory_") || strings.HasPrefix(name, "pg_try_advisory_") {
+		if !strings.Contains(name, "xact") {
+			w.refused = "an advisory lock of the session needs a connection of its own: use pg_advisory_xact_lock"
+		}
+	}
+	qualified := len(names) > 1 && !strings.EqualFold(names[0].GetString_().GetSval(), "pg_catalog")
+	if qualified || !readFunctions[name] {
+		w.writes = true
+	}
+}
