--- a/bbrconfig/config.go
+++ b/bbrconfig/config.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"github.com/bluebellroute/bluebellroute/bbrfailover"
+	"github.com/bluebellroute/bluebellroute/bbrjournal"
 	"github.com/bluebellroute/bluebellroute/bbrtype"
 )
 
@@ -114,7 +115,7 @@
 
 // Policy returns the part of the group that a change of primary follows.
 func (g *Group) Policy() bbrfailover.Policy {
-	return bbrfailover.Policy{Confirm: g.Copies(true), OnLoss: g.OnLoss, LossAfter: g.LossAfter}
+	return bbrfailover.Policy{OnLoss: g.OnLoss, LossAfter: g.LossAfter}
 }
 
 // Copies returns the number of replicas that must hold a write before it is
@@ -218,11 +219,15 @@
 // ClassOfTable returns the class of writes to a table, nil if it has none.
 func (c *Config) ClassOfTable(table string) *Class { return c.classOfTable[table] }
 
-// GroupMembers returns the member names by group, as the journal keeps them.
-func (c *Config) GroupMembers() map[bbrtype.GroupName][]bbrtype.MemberName {
-	out := make(map[bbrtype.GroupName][]bbrtype.MemberName, len(c.Groups))
+// Settings returns the settings of all groups as the journal keeps them.
+func (c *Config) Settings() map[bbrtype.GroupName]bbrjournal.Setting {
+	out := make(map[bbrtype.GroupName]bbrjournal.Setting, len(c.Groups))
 	for name, g := range c.Groups {
-		out[name] = g.MemberNames()
+		least := g.Copies(false)
+		if least == 0 {
+			least = g.Copies(true)
+		}
+		out[name] = bbrjournal.Setting{Members: g.MemberNames(), Confirm: least}
 	}
 	return out
 }
--- a/bbrcontrol/append.go
+++ b/bbrcontrol/append.go
@@ -118,6 +118,7 @@
 	out = c.wantMembership(now, out)
 	out = c.wantStewards(now, out)
 	out = c.wantChanges(now, out)
+	out = c.wantSettled(now, out)
 	return c.wantConfigurations(now, out)
 }
 
@@ -148,7 +149,8 @@
 	waits := false
 	for _, name := range c.state.GroupNames() {
 		g := c.state.Groups[name]
-		members, kept := e.Groups[name]
+		next, kept := e.Groups[name]
+		members := next.Members
 		if !kept || len(g.Members) == 0 {
 			continue
 		}
--- a/bbrcontrol/change.go
+++ b/bbrcontrol/change.go
@@ -75,7 +75,7 @@
 			out = append(out, gc.want)
 			continue
 		}
-		fence, excluded := c.wantsFence(now, g, gc, rank)
+		fence, excluded := c.wantsFence(now, name, g, gc, rank)
 		c.fenceWanted = c.fenceWanted || fence
 		if fence && c.voucher.MayAppend(now) {
 			out = append(out, bbrjournal.Fenced{Group: name, Term: g.Term + 1, Excluded: excluded})
@@ -84,9 +84,59 @@
 	return out
 }
 
+// wantSettled ends the time in which a group's earlier settings count: once all
+// instances have applied the new one, or have no authority left, the primary's
+// position covers every write that was confirmed before.
+func (c *Control) wantSettled(now bbrtype.Mono, out []bbrjournal.Entry) []bbrjournal.Entry {
+	if !c.state.IsSteward(c.opts.Self.ID) || c.rank(now) != 0 {
+		return out
+	}
+	for _, name := range c.state.GroupNames() {
+		g := c.state.Groups[name]
+		l, ok := g.Primary()
+		if len(g.Earlier) == 0 || !ok {
+			continue
+		}
+		gc := c.groupOf(name)
+		if gc.setAt != g.SetAt {
+			gc.setAt, gc.setSeen, gc.setAllAt = g.SetAt, now, 0
+		}
+		if gc.setAllAt == 0 && c.allApplied(now, g.SetAt, gc.setSeen) {
+			gc.setAllAt = now
+		}
+		ref := bbrmember.Ref{Group: name, Member: l.Member}
+		m := c.memberOf(ref)
+		if gc.setAllAt == 0 || m.state == nil || m.stateAt < gc.setAllAt {
+			c.suspect(now, ref)
+			continue
+		}
+		if m.state.Primary && m.state.History == l.History {
+			out = append(out, bbrjournal.Settled{Group: name, Term: g.Term, Since: g.SetAt, Floor: m.state.Position})
+		}
+	}
+	return out
+}
+
+// allApplied reports whether nobody can acknowledge a write by what the journal
+// said before an index that was seen at a time.
+func (c *Control) allApplied(now bbrtype.Mono, i bbrtype.Index, seen bbrtype.Mono) bool {
+	if now.Sub(seen) >= c.opts.Authority.Duration {
+		return true
+	}
+	if len(c.removed) > 0 {
+		return false
+	}
+	for id := range c.state.Instances {
+		if p := c.peers[id]; id != c.opts.Self.ID && (p == nil || p.applied < i) {
+			return false
+		}
+	}
+	return true
+}
+
 // wantsFence reports whether a new term should start, and which member must
 // not be its primary.
-func (c *Control) wantsFence(now bbrtype.Mono, g *bbrjournal.Group, gc *groupControl, rank int) (bool, bbrtype.MemberName) {
+func (c *Control) wantsFence(now bbrtype.Mono, name bbrtype.GroupName, g *bbrjournal.Group, gc *groupControl, rank int) (bool, bbrtype.MemberName) {
 	delay := time.Duration(rank) * c.opts.RankDelay
 	if len(g.Members) == 0 || c.leaving {
 		return false, ""
@@ -94,7 +144,7 @@
 	if g.Fenced {
 		// The steward that set the fence may be dead or stuck.
 		orphaned := !c.state.IsSteward(g.FencedBy)
-		stuck := g.FencedBy != c.opts.Self.ID && now.Sub(gc.fencedAt) >= c.opts.TakeoverAfter+delay
+		stuck := g.FencedBy != c.opts.Self.ID && now.Sub(gc.fencedAt) >= c.opts.TakeoverAfter+delay && c.reachesAny(now, name, g)
 		mine := g.FencedBy == c.opts.Self.ID && gc.change == nil
 		return mine || stuck || (orphaned && now.Sub(gc.fencedAt) >= delay), g.Excluded
 	}
@@ -102,13 +152,43 @@
 		return rank == 0, ""
 	}
 	l, _ := g.Primary()
-	if gc.wished == l.Member && now.Sub(gc.wishedAt) <= c.opts.Silence && rank == 0 {
-		return true, l.Member
+	if gc.wished == l.Member && now.Sub(gc.wishedAt) <= c.opts.Silence && rank == 0 && now.Sub(gc.namedAt) >= c.opts.Cooldown {
+		return c.hasFollower(now, name, g, l), l.Member
 	}
 	lost := gc.lostAt != 0 && now.Sub(gc.lostAt) >= delay && now.Sub(gc.namedAt) >= c.opts.Cooldown
 	return lost, ""
 }
 
+// reachesAny reports whether this instance reaches any member.
+func (c *Control) reachesAny(now bbrtype.Mono, name bbrtype.GroupName, g *bbrjournal.Group) bool {
+	for _, m := range g.Members {
+		if c.opinion(now, bbrmember.Ref{Group: name, Member: m}) == bbrfailover.OpinionAnswering {
+			return true
+		}
+	}
+	return false
+}
+
+// hasFollower reports whether a replica follows the primary's history, so that
+// a planned change can succeed at once.
+func (c *Control) hasFollower(now bbrtype.Mono, name bbrtype.GroupName, g *bbrjournal.Group, l bbrjournal.Lineage) bool {
+	for _, member := range g.Members {
+		ref := bbrmember.Ref{Group: name, Member: member}
+		m := c.memberOf(ref)
+		if member == l.Member {
+			continue
+		}
+		if m.state == nil || now.Sub(m.stateAt) > c.opts.Fresh {
+			c.suspect(now, ref)
+			continue
+		}
+		if !m.state.Primary && m.state.History == l.History {
+			return true
+		}
+	}
+	return false
+}
+
 // wish notes that a pending configuration takes the primary away.
 func (g *groupControl) wish(now bbrtype.Mono, w Wish) {
 	g.wished = w.Excluded
--- a/bbrcontrol/control.go
+++ b/bbrcontrol/control.go
@@ -92,7 +92,7 @@
 		RankDelay:        400 * time.Millisecond,
 		TakeoverAfter:    4 * time.Second,
 		Cooldown:         2 * time.Second,
-		PlannedWait:      5 * time.Second,
+		PlannedWait:      2 * time.Second,
 		StewardCount:     3,
 		ProbersPerMember: 3,
 		SnapshotEvery:    256,
@@ -159,6 +159,11 @@
 	// wished is a primary that a pending configuration takes away.
 	wished   bbrtype.MemberName
 	wishedAt bbrtype.Mono
+	// setAt is the index of the last change of the setting, setSeen when this
+	// instance saw it, setAllAt when all instances were known to have.
+	setAt    bbrtype.Index
+	setSeen  bbrtype.Mono
+	setAllAt bbrtype.Mono
 }
 
 // memberControl is what an instance keeps about a member.
--- a/bbrcontrol/member.go
+++ b/bbrcontrol/member.go
@@ -141,6 +141,9 @@
 		m.probing = false
 	}
 	m.health.Bad(now, e.Kind)
+	if e.Probed && e.Kind == bbrmember.FailureRefused {
+		c.stepChange(now, e.Ref.Group, bbrfailover.MemberUnreadable{Member: e.Ref.Member})
+	}
 	if c.isPrimary(e.Ref) && now >= m.suspectUntil {
 		c.suspect(now, e.Ref)
 		c.exchangeNow()
--- a/bbrfailover/change.go
+++ b/bbrfailover/change.go
@@ -52,7 +52,7 @@
 }
 
 // Event is something that a change reacts to: Tick, Confirmed, MemberRead,
-// CandidateNoted or Promoted.
+// MemberUnreadable, CandidateNoted or Promoted.
 type Event interface{ isEvent() }
 
 // Tick is the passing of time.
@@ -68,6 +68,9 @@
 	SentAt bbrtype.Mono
 }
 
+// MemberUnreadable tells that a member refused to tell its state.
+type MemberUnreadable struct{ Member bbrtype.MemberName }
+
 // CandidateNoted tells that the journal has noted the candidate.
 type CandidateNoted struct{ Member bbrtype.MemberName }
 
@@ -79,11 +82,13 @@
 	Failed bool
 }
 
-func (Tick) isEvent()           {}
-func (Confirmed) isEvent()      {}
-func (MemberRead) isEvent()     {}
-func (CandidateNoted) isEvent() {}
-func (Promoted) isEvent()       {}
+func (Tick) isEvent()       {}
+func (Confirmed) isEvent()  {}
+func (MemberRead) isEvent() {}
+
+func (MemberUnreadable) isEvent() {}
+func (CandidateNoted) isEvent()   {}
+func (Promoted) isEvent()         {}
 
 // Action is something that a change wants done: ReadMembers, AppendCandidate,
 // Promote or AppendPrimary.
@@ -121,6 +126,7 @@
 	readAt      bbrtype.Mono
 	since       bbrtype.Mono
 	states      map[bbrtype.MemberName]bbrmember.State
+	unreadable  map[bbrtype.MemberName]bool
 	choice      Choice
 }
 
@@ -151,6 +157,11 @@
 	case MemberRead:
 		if c.phase == PhaseReading && e.SentAt >= c.drainedAt {
 			c.states[e.Member] = e.State
+			delete(c.unreadable, e.Member)
+		}
+	case MemberUnreadable:
+		if c.phase == PhaseReading {
+			c.unreadable[e.Member] = true
 		}
 	case CandidateNoted:
 		if c.phase == PhaseChoosing && e.Member == c.choice.Member {
@@ -189,6 +200,7 @@
 func (c *Change) startReading(now bbrtype.Mono) []Action {
 	c.enter(PhaseReading, now)
 	c.states = map[bbrtype.MemberName]bbrmember.State{}
+	c.unreadable = map[bbrtype.MemberName]bool{}
 	c.readAt = now
 	return []Action{ReadMembers{}}
 }
@@ -196,7 +208,7 @@
 func (c *Change) read(now bbrtype.Mono, s Situation) []Action {
 	s.States = c.states
 	s.Waited = now.Sub(c.drainedAt)
-	s.Complete = len(c.states) >= len(s.Group.Members) || now.Sub(c.since) >= c.opts.ReadTimeout
+	s.Complete = len(c.states)+len(c.unreadable) >= len(s.Group.Members) || now.Sub(c.since) >= c.opts.ReadTimeout
 	choice := Choose(s)
 	switch choice.Decision {
 	case DecisionAdopt:
--- a/bbrfailover/choice.go
+++ b/bbrfailover/choice.go
@@ -22,10 +22,7 @@
 // Policy is the part of a group's configuration that a change of primary
 // follows.
 type Policy struct {
-	// Confirm is the number of replicas that hold a write before it is
-	// acknowledged.
-	Confirm int
-	OnLoss  LossPolicy
+	OnLoss LossPolicy
 	// LossAfter is how long LossPromote waits first.
 	LossAfter time.Duration
 }
@@ -89,7 +86,7 @@
 	if !s.Complete {
 		return Choice{Decision: DecisionWait}
 	}
-	if seesConfirmed(s, last, best) {
+	if seesAllConfirmed(s, last, best) {
 		return best
 	}
 	if s.Policy.OnLoss == LossPromote && s.Waited >= s.Policy.LossAfter {
@@ -154,21 +151,37 @@
 	return false
 }
 
-// seesConfirmed reports whether the best member holds every confirmed write. A
-// write of an earlier term lies before the present term's start. A write of
-// the present term is on a member that answered, because fewer are missing
-// than had to confirm it, and no other member that answered is ahead.
-func seesConfirmed(s Situation, last bbrjournal.Lineage, best Choice) bool {
-	if s.Policy.Confirm == 0 {
+// seesAllConfirmed reports whether the best member holds every confirmed write.
+// A write before the floor is held by whoever has reached it. A later write was
+// confirmed under the present setting, or under one that is not settled yet.
+func seesAllConfirmed(s Situation, last bbrjournal.Lineage, best Choice) bool {
+	if s.Group.Confirm > 0 || len(s.Group.Earlier) > 0 {
+		if received(best.State) < s.Group.Floor {
+			return false
+		}
+	}
+	for _, setting := range append([]bbrjournal.Setting{s.Group.Setting}, s.Group.Earlier...) {
+		if !seesConfirmed(s, setting, last, best) {
+			return false
+		}
+	}
+	return true
+}
+
+// seesConfirmed reports whether the best member holds every write that was
+// confirmed under a setting: fewer members are missing than had to confirm it,
+// and no other member that answered is ahead.
+func seesConfirmed(s Situation, setting bbrjournal.Setting, last bbrjournal.Lineage, best Choice) bool {
+	if setting.Confirm == 0 {
 		return true
 	}
 	missing := 0
-	for _, m := range s.Group.Members {
+	for _, m := range setting.Members {
 		if m != last.Member && m != best.Member && !isBehind(s, m, received(best.State)) {
 			missing++
 		}
 	}
-	return received(best.State) >= last.Start && missing < s.Policy.Confirm
+	return missing < setting.Confirm
 }
 
 // isBehind reports whether a member answered and holds nothing of the group's
--- /dev/null
+++ b/bbrfailover/failover_test.go
@@ -0,0 +1,190 @@
+package bbrfailover
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/bluebellroute/bluebellroute/bbrjournal"
+	"github.com/bluebellroute/bluebellroute/bbrmember"
+	"github.com/bluebellroute/bluebellroute/bbrtype"
+)
+
+// names of members.
+const m1, m2, m3 = bbrtype.MemberName("m1"), bbrtype.MemberName("m2"), bbrtype.MemberName("m3")
+
+func replica(p bbrtype.Position, h bbrtype.History) bbrmember.State {
+	return bbrmember.State{Position: p, Received: p, History: h}
+}
+
+func primary(p bbrtype.Position, h bbrtype.History) bbrmember.State {
+	return bbrmember.State{Primary: true, Position: p, Received: p, History: h}
+}
+
+type states map[bbrtype.MemberName]bbrmember.State
+
+// group is one whose primary m1 was fenced.
+func group(confirm int, change ...func(g *bbrjournal.Group)) *bbrjournal.Group {
+	g := &bbrjournal.Group{
+		Setting: bbrjournal.Setting{Members: []bbrtype.MemberName{m1, m2, m3}, Confirm: confirm},
+		Term:    3, Fenced: true,
+		Lineage: []bbrjournal.Lineage{{Term: 1, History: 1, Member: m2}, {Term: 2, History: 2, Start: 100, Member: m1}},
+		Floor:   100,
+	}
+	for _, c := range change {
+		c(g)
+	}
+	return g
+}
+
+func TestChoose(t *testing.T) {
+	excluded := func(g *bbrjournal.Group) { g.Excluded = m1 }
+	candidate := func(g *bbrjournal.Group) { g.Candidates = []bbrtype.MemberName{m2} }
+	earlier := func(g *bbrjournal.Group) {
+		g.Members = []bbrtype.MemberName{m1, m2}
+		g.Earlier = []bbrjournal.Setting{{Members: []bbrtype.MemberName{m1, m2, m3}, Confirm: 1}}
+	}
+	fresh := func(g *bbrjournal.Group) { g.Lineage = nil }
+	cases := map[string]struct {
+		group     *bbrjournal.Group
+		states    states
+		situation Situation
+		decision  Decision
+		member    bbrtype.MemberName
+		loss      bool
+	}{
+		"the highest replica":                        {group(1), states{m2: replica(120, 2), m3: replica(130, 2)}, Situation{Complete: true}, DecisionPromote, m3, false},
+		"what was received counts":                   {group(1), states{m2: {Position: 90, Received: 140, History: 2}, m3: replica(130, 2)}, Situation{Complete: true}, DecisionPromote, m2, false},
+		"waits for all to answer":                    {group(1), states{m3: replica(130, 2)}, Situation{}, DecisionWait, "", false},
+		"a replica that may hold more is missing":    {group(1), states{m3: replica(130, 2)}, Situation{Complete: true}, DecisionWait, "", false},
+		"the same without confirmed writes":          {group(0), states{m3: replica(130, 2)}, Situation{Complete: true}, DecisionPromote, m3, false},
+		"the same under a policy to promote":         {group(1), states{m3: replica(130, 2)}, Situation{Complete: true, Policy: Policy{OnLoss: LossPromote}, Waited: time.Second}, DecisionPromote, m3, true},
+		"two copies cover a missing replica":         {group(2), states{m3: replica(130, 2)}, Situation{Complete: true}, DecisionPromote, m3, false},
+		"nobody has reached the floor":               {group(1), states{m2: replica(90, 1), m3: replica(95, 1)}, Situation{Complete: true}, DecisionWait, "", false},
+		"a divergent member is passed over":          {group(0), states{m2: replica(170, 1), m3: replica(130, 2)}, Situation{Complete: true}, DecisionPromote, m3, false},
+		"a stray primary is passed over":             {group(0), states{m2: primary(200, 7), m3: replica(130, 2)}, Situation{Complete: true}, DecisionPromote, m3, false},
+		"a stray primary may hold a confirmed write": {group(1), states{m2: primary(200, 7), m3: replica(130, 2)}, Situation{Complete: true}, DecisionWait, "", false},
+		"an unfinished promotion goes on":            {group(1, candidate), states{m2: primary(130, 3), m3: replica(120, 2)}, Situation{Complete: true}, DecisionAdopt, m2, false},
+		"the old primary answers after all":          {group(1), states{m1: primary(150, 2), m2: replica(120, 2)}, Situation{OldAnswers: true}, DecisionAdopt, m1, false},
+		"only this steward reaches it":               {group(1), states{m1: primary(150, 2), m2: replica(120, 2), m3: replica(120, 2)}, Situation{Complete: true}, DecisionPromote, m2, false},
+		"a planned change waits for a replica":       {group(1, excluded), states{m1: primary(150, 2), m2: replica(120, 2), m3: replica(149, 2)}, Situation{OldAnswers: true, PlannedWait: time.Second}, DecisionWait, "", false},
+		"a planned change loses nothing":             {group(1, excluded), states{m1: primary(150, 2), m2: replica(120, 2), m3: replica(150, 2)}, Situation{OldAnswers: true, PlannedWait: time.Second}, DecisionPromote, m3, false},
+		"a planned change is given up":               {group(1, excluded), states{m1: primary(150, 2), m2: replica(120, 2)}, Situation{OldAnswers: true, PlannedWait: time.Second, Waited: time.Second}, DecisionAdopt, m1, false},
+		"a removed replica may hold a write":         {group(1, earlier), states{m2: replica(130, 2)}, Situation{Complete: true}, DecisionWait, "", false},
+		"the first primary is adopted":               {group(1, fresh), states{m1: replica(10, 1), m2: primary(10, 1), m3: replica(10, 1)}, Situation{Complete: true}, DecisionAdopt, m2, false},
+		"two claim to be the first":                  {group(1, fresh), states{m1: primary(10, 1), m2: primary(10, 1)}, Situation{Complete: true}, DecisionWait, "", false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := c.situation
+			s.Group, s.States = c.group, c.states
+			got := Choose(s)
+			is.Equal(got.Decision, c.decision)
+			is.Equal(got.Member, c.member)
+			is.Equal(got.PossibleLoss, c.loss)
+		})
+	}
+}
+
+// TestChoiceHoldsEveryConfirmedWrite draws where the members are and which of
+// them answer. Whoever is promoted without a warning holds every position that
+// enough replicas had confirmed.
+func TestChoiceHoldsEveryConfirmedWrite(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		confirm := rapid.IntRange(1, 3).Draw(t, "confirm")
+		members := []bbrtype.MemberName{m1, m2, m3, "m4", "m5"}
+		g := group(confirm)
+		g.Members = members
+		var positions []bbrtype.Position
+		answers := states{}
+		for _, m := range members[1:] {
+			p := bbrtype.Position(rapid.IntRange(100, 110).Draw(t, "position"))
+			positions = append(positions, p)
+			if rapid.Bool().Draw(t, "answers") {
+				answers[m] = replica(p, 2)
+			}
+		}
+		confirmed := bbrtype.Position(0) // the highest position on enough replicas
+		for _, p := range positions {
+			n := 0
+			for _, q := range positions {
+				if q >= p {
+					n++
+				}
+			}
+			if n >= confirm {
+				confirmed = max(confirmed, p)
+			}
+		}
+		got := Choose(Situation{Group: g, States: answers, Complete: true})
+		if got.Decision == DecisionPromote && received(got.State) < confirmed {
+			t.Fatalf("%s at %d is promoted, %d was confirmed", got.Member, received(got.State), confirmed)
+		}
+	})
+}
+
+func TestIsLost(t *testing.T) {
+	a, f, n := OpinionAnswering, OpinionFailing, OpinionNone
+	cases := map[string]struct {
+		own       Opinion
+		others    []Opinion
+		instances int
+		want      bool
+	}{
+		"most fail to reach it":               {f, []Opinion{f, n}, 3, true},
+		"a steward alone fails":               {f, []Opinion{a, a}, 3, false},
+		"one of many still reaches it":        {f, []Opinion{f, f, a}, 4, false},
+		"half is not enough":                  {f, []Opinion{f, n, n}, 4, false},
+		"the steward itself reaches it":       {a, []Opinion{f, f}, 3, false},
+		"the steward has no experience":       {n, []Opinion{f, f}, 3, false},
+		"a single instance decides by itself": {f, nil, 1, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(IsLost(c.own, c.others, c.instances), c.want)
+		})
+	}
+}
+
+// TestChangeRunsToItsEnd walks a change through its phases.
+func TestChangeRunsToItsEnd(t *testing.T) {
+	is := is.New(t)
+	now := bbrtype.Mono(time.Hour)
+	c := NewChange(Options{
+		Group: "g", Term: 3, Unconfirmed: []bbrtype.InstanceID{"a", "b"}, LapseAt: now.Add(2 * time.Second),
+		ReadTimeout: time.Second, PromoteTimeout: time.Second,
+	}, now)
+	s := Situation{Group: group(1)}
+	is.Equal(len(c.Step(now, Confirmed{Instance: "a"}, s)), 0) // b may still acknowledge
+	is.Equal(c.Step(now, Confirmed{Instance: "b"}, s), []Action{ReadMembers{}})
+	early := MemberRead{Member: m2, State: replica(500, 2), SentAt: now.Add(-time.Second)}
+	is.Equal(len(c.Step(now, early, s)), 0) // read before the fence was complete
+	now = now.Add(10 * time.Millisecond)
+	c.Step(now, MemberRead{Member: m2, State: replica(120, 2), SentAt: now}, s)
+	c.Step(now, MemberRead{Member: m3, State: replica(130, 2), SentAt: now}, s)
+	is.Equal(c.Step(now, MemberUnreadable{Member: m1}, s), []Action{AppendCandidate{Member: m3}})
+	is.Equal(c.Step(now, CandidateNoted{Member: m3}, s), []Action{Promote{Member: m3}})
+	failed := c.Step(now, Promoted{Member: m3, Failed: true}, s)
+	is.Equal(failed, []Action{ReadMembers{}}) // the candidate died: look again
+	c.Step(now, MemberRead{Member: m2, State: replica(120, 2), SentAt: now}, s)
+	c.Step(now, MemberUnreadable{Member: m1}, s)
+	is.Equal(len(c.Step(now, MemberUnreadable{Member: m3}, s)), 0) // m3 may hold a confirmed write
+	now = now.Add(2 * time.Second)
+	is.Equal(c.Step(now, MemberRead{Member: m3, State: replica(130, 2), SentAt: now}, s), []Action{AppendCandidate{Member: m3}})
+	c.Step(now, CandidateNoted{Member: m3}, s)
+	done := c.Step(now, Promoted{Member: m3, Before: replica(130, 2), After: primary(131, 3)}, s)
+	is.Equal(done, []Action{AppendPrimary{Member: m3, History: 3, Start: 130}})
+}
+
+func TestChangeWaitsOutTheSilent(t *testing.T) {
+	is := is.New(t)
+	now := bbrtype.Mono(time.Hour)
+	c := NewChange(Options{Unconfirmed: []bbrtype.InstanceID{"a"}, LapseAt: now.Add(2 * time.Second), ReadTimeout: time.Second}, now)
+	s := Situation{Group: group(1)}
+	is.Equal(len(c.Step(now.Add(1999*time.Millisecond), Tick{}, s)), 0)
+	is.Equal(c.Step(now.Add(2*time.Second), Tick{}, s), []Action{ReadMembers{}})
+}
--- a/bbrinstance/instance.go
+++ b/bbrinstance/instance.go
@@ -391,7 +391,7 @@
 		return bbrcontrol.ConfigureDone{Result: bbrcontrol.ConfigureConflict}, err
 	}
 	entry.Hash = bbrconfig.Hash(body)
-	entry.Groups = cfg.GroupMembers()
+	entry.Groups = cfg.Settings()
 	i.bodies.keep(entry.Hash, body)
 	id := bbrcontrol.RequestID(randomText())
 	ch := make(chan bbrcontrol.ConfigureDone, 1)
--- a/bbrjournal/entry.go
+++ b/bbrjournal/entry.go
@@ -9,7 +9,8 @@
 )
 
 // Entry is one change that all instances agree on. It is one of Configured,
-// MembershipChanged, StewardsNamed, Fenced, CandidateChosen and PrimaryNamed.
+// MembershipChanged, StewardsNamed, Fenced, CandidateChosen, PrimaryNamed and
+// Settled.
 type Entry interface {
 	kind() kind
 }
@@ -24,6 +25,7 @@
 	kindFenced            kind = "fenced"
 	kindCandidateChosen   kind = "candidateChosen"
 	kindPrimaryNamed      kind = "primaryNamed"
+	kindSettled           kind = "settled"
 )
 
 // Configured puts a configuration in force. Its body lies in the object store.
@@ -40,7 +42,16 @@
 	// shown and never compared.
 	AppliedAt int64 `json:"appliedAt"`
 	// Groups are the database groups with their members.
-	Groups map[bbrtype.GroupName][]bbrtype.MemberName `json:"groups"`
+	Groups map[bbrtype.GroupName]Setting `json:"groups"`
+}
+
+// Setting is the part of a group's configuration that decides which members
+// hold an acknowledged write.
+type Setting struct {
+	Members []bbrtype.MemberName `json:"members"`
+	// Confirm is the least number of replicas that hold a confirmed write. 0
+	// means that no write is confirmed.
+	Confirm int `json:"confirm,omitempty"`
 }
 
 // Instance is a running instance as the journal knows it.
@@ -97,6 +108,18 @@
 	PossibleLoss bool `json:"possibleLoss,omitempty"`
 }
 
+// Settled ends the time in which an earlier setting of a group counts: every
+// write that was confirmed under it lies at or before the floor, and a later
+// primary must hold that much.
+type Settled struct {
+	Group bbrtype.GroupName `json:"group"`
+	Term  bbrtype.Term      `json:"term"`
+	// Since is the index of the configuration that changed the setting.
+	Since bbrtype.Index    `json:"since"`
+	Floor bbrtype.Position `json:"floor"`
+}
+
+func (Settled) kind() kind           { return kindSettled }
 func (Configured) kind() kind        { return kindConfigured }
 func (MembershipChanged) kind() kind { return kindMembershipChanged }
 func (StewardsNamed) kind() kind     { return kindStewardsNamed }
@@ -171,6 +194,8 @@
 		return decodeAs[CandidateChosen](b)
 	case kindPrimaryNamed:
 		return decodeAs[PrimaryNamed](b)
+	case kindSettled:
+		return decodeAs[Settled](b)
 	}
 	return nil, errors.Errorf("unknown kind of entry %q: this instance may be older than the writer", k)
 }
--- a/bbrjournal/lineage.go
+++ b/bbrjournal/lineage.go
@@ -18,7 +18,8 @@
 
 // Fate tells whether the present history includes a position of a term.
 func (g *Group) Fate(term bbrtype.Term, p bbrtype.Position) Fate {
-	if term > g.Term {
+	if last, _ := g.Last(); term > last.Term {
+		// The entry that names the term's primary is not applied here.
 		return FateAhead
 	}
 	for k := range g.Lineage {
--- a/bbrjournal/state.go
+++ b/bbrjournal/state.go
@@ -42,7 +42,14 @@
 
 // Group is what the journal knows of a database group.
 type Group struct {
-	Members []bbrtype.MemberName `json:"members"`
+	Setting
+	// SetAt is the index of the configuration that made the setting.
+	SetAt bbrtype.Index `json:"setAt,omitempty"`
+	// Earlier are settings under which writes may have been confirmed that lie
+	// past the floor.
+	Earlier []Setting `json:"earlier,omitempty"`
+	// Floor is a position that a later primary must have reached.
+	Floor bbrtype.Position `json:"floor,omitempty"`
 	// Term is the present term. It is 0 until the group had a fence.
 	Term bbrtype.Term `json:"term"`
 	// Fenced is set while the present term has no primary.
@@ -130,6 +137,8 @@
 		return s.chooseCandidate(r, e)
 	case PrimaryNamed:
 		return s.namePrimary(r, e)
+	case Settled:
+		return s.settle(r, e)
 	}
 	return false
 }
@@ -165,6 +174,7 @@
 	for name, g := range s.Groups {
 		d := *g
 		d.Members = slices.Clone(g.Members)
+		d.Earlier = slices.Clone(g.Earlier)
 		d.Lineage = slices.Clone(g.Lineage)
 		d.Candidates = slices.Clone(g.Candidates)
 		c.Groups[name] = &d
@@ -182,19 +192,15 @@
 	if s.Groups == nil {
 		s.Groups = map[bbrtype.GroupName]*Group{}
 	}
-	for name, members := range e.Groups {
-		g := s.Groups[name]
-		if g == nil {
-			g = &Group{}
-			s.Groups[name] = g
+	for name := range e.Groups {
+		if s.Groups[name] == nil {
+			s.Groups[name] = &Group{}
 		}
-		g.Members = slices.Clone(members)
 	}
 	for name, g := range s.Groups {
-		if _, ok := e.Groups[name]; !ok {
-			// The term stays, so that a group of the same name continues it.
-			g.Members = nil
-		}
+		// The term of a group that is taken out stays, so that a group of the
+		// same name continues it.
+		g.change(r.Index, e.Groups[name])
 	}
 	s.Versions = append(s.Versions, Version{
 		Version: e.Version, Hash: e.Hash, Author: e.Author, Note: e.Note, AppliedAt: e.AppliedAt, Index: r.Index,
@@ -205,11 +211,25 @@
 	return true
 }
 
+// change gives a group another setting. The earlier one counts until a Settled
+// entry ends it.
+func (g *Group) change(i bbrtype.Index, next Setting) {
+	if slices.Equal(g.Members, next.Members) && g.Confirm == next.Confirm {
+		return
+	}
+	if len(g.Lineage) > 0 && g.Confirm > 0 {
+		g.Earlier = append(g.Earlier, g.Setting)
+	}
+	g.Setting = Setting{Members: slices.Clone(next.Members), Confirm: next.Confirm}
+	g.SetAt = i
+}
+
 // takesPrimary reports whether a configuration drops the primary of a group
 // that it keeps, or a member during a change of primary.
 func (s *State) takesPrimary(e Configured) bool {
-	for name, members := range e.Groups {
+	for name, next := range e.Groups {
 		g := s.Groups[name]
+		members := next.Members
 		if g == nil {
 			continue
 		}
@@ -307,5 +327,20 @@
 	if e.PossibleLoss {
 		g.PossibleLoss = e.Term
 	}
+	// All that was confirmed lies before the start, which a later primary must
+	// have reached.
+	g.Earlier, g.Floor = nil, e.Start
+	return true
+}
+
+// settle forgets the earlier settings of a group. It is void if the setting has
+// changed again, or the primary.
+func (s *State) settle(r Record, e Settled) bool {
+	g := s.Groups[e.Group]
+	if g == nil || !s.IsSteward(r.Writer) || g.Fenced || g.Term != e.Term || g.SetAt != e.Since {
+		return false
+	}
+	g.Earlier = nil
+	g.Floor = max(g.Floor, e.Floor)
 	return true
 }
--- /dev/null
+++ b/bbrjournal/state_test.go
@@ -0,0 +1,244 @@
+package bbrjournal
+
+import (
+	"encoding/json"
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/bluebellroute/bluebellroute/bbrtype"
+)
+
+// applied returns a state after some entries, one to a record.
+func applied(t *testing.T, writer bbrtype.InstanceID, entries ...Entry) *State {
+	t.Helper()
+	s := &State{}
+	for _, e := range entries {
+		if _, err := s.Apply(Record{Index: s.Applied + 1, Writer: writer, Nonce: "n", Entries: []Entry{e}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return s
+}
+
+func setting(confirm int, members ...bbrtype.MemberName) map[bbrtype.GroupName]Setting {
+	return map[bbrtype.GroupName]Setting{"g": {Members: members, Confirm: confirm}}
+}
+
+// begun are the entries of a fleet whose group g has m1 as the primary.
+func begun(confirm int) []Entry {
+	return []Entry{
+		MembershipChanged{Joined: []Instance{{ID: "a"}, {ID: "b"}}},
+		StewardsNamed{Stewards: []bbrtype.InstanceID{"a"}},
+		Configured{Version: 1, Groups: setting(confirm, "m1", "m2", "m3")},
+		Fenced{Group: "g", Term: 1},
+		PrimaryNamed{Group: "g", Member: "m1", Term: 1, History: 1},
+	}
+}
+
+func TestApplyDecidesWhatTakesEffect(t *testing.T) {
+	cases := map[string]struct {
+		writer  bbrtype.InstanceID
+		entry   Entry
+		applies bool
+	}{
+		"next version":                 {"b", Configured{Version: 2, Groups: setting(0, "m1", "m2")}, true},
+		"version of a race's loser":    {"b", Configured{Version: 1, Groups: setting(0, "m1")}, false},
+		"version that skips one":       {"b", Configured{Version: 3, Groups: setting(0, "m1")}, false},
+		"version without the primary":  {"b", Configured{Version: 2, Groups: setting(0, "m2", "m3")}, false},
+		"version without the group":    {"b", Configured{Version: 2, Groups: map[bbrtype.GroupName]Setting{}}, true},
+		"fence by a steward":           {"a", Fenced{Group: "g", Term: 2}, true},
+		"fence by somebody else":       {"b", Fenced{Group: "g", Term: 2}, false},
+		"fence of an old term":         {"a", Fenced{Group: "g", Term: 1}, false},
+		"fence of an unknown group":    {"a", Fenced{Group: "x", Term: 1}, false},
+		"primary without a fence":      {"a", PrimaryNamed{Group: "g", Member: "m2", Term: 1}, false},
+		"candidate without a fence":    {"a", CandidateChosen{Group: "g", Member: "m2", Term: 1}, false},
+		"stewards by a steward":        {"a", StewardsNamed{Stewards: []bbrtype.InstanceID{"b"}}, true},
+		"stewards by somebody else":    {"b", StewardsNamed{Stewards: []bbrtype.InstanceID{"b"}}, false},
+		"stewards by takeover":         {"b", StewardsNamed{Stewards: []bbrtype.InstanceID{"b"}, TakenOver: true}, true},
+		"stewards that are no members": {"a", StewardsNamed{Stewards: []bbrtype.InstanceID{"x"}}, false},
+		"settled without a change":     {"a", Settled{Group: "g", Term: 1, Since: 3}, true},
+		"settled for another change":   {"a", Settled{Group: "g", Term: 1, Since: 2}, false},
+		"settled by somebody else":     {"b", Settled{Group: "g", Term: 1, Since: 3}, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := applied(t, "a", begun(1)...)
+			effective, err := s.Apply(Record{Index: s.Applied + 1, Writer: c.writer, Entries: []Entry{c.entry}})
+			is.NoErr(err)
+			is.Equal(len(effective) == 1, c.applies)
+		})
+	}
+}
+
+func TestApplyTakesRecordsInOrderOnly(t *testing.T) {
+	is := is.New(t)
+	s := applied(t, "a", begun(1)...)
+	for _, i := range []bbrtype.Index{0, s.Applied, s.Applied + 2} {
+		_, err := s.Apply(Record{Index: i})
+		is.True(errors.Is(err, ErrNotNext))
+	}
+}
+
+func TestOnlyTheFencesWriterNamesThePrimary(t *testing.T) {
+	is := is.New(t)
+	s := applied(t, "a", append(begun(1), StewardsNamed{Stewards: []bbrtype.InstanceID{"a", "b"}}, Fenced{Group: "g", Term: 2})...)
+	name := PrimaryNamed{Group: "g", Member: "m2", Term: 2, History: 2, Start: 80}
+	effective, err := s.Apply(Record{Index: s.Applied + 1, Writer: "b", Entries: []Entry{name}})
+	is.NoErr(err)
+	is.Equal(len(effective), 0) // b did not set the fence
+	effective, err = s.Apply(Record{Index: s.Applied + 1, Writer: "a", Entries: []Entry{name, name}})
+	is.NoErr(err)
+	is.Equal(len(effective), 1) // the second one comes too late
+	l, ok := s.Groups["g"].Primary()
+	is.True(ok)
+	is.Equal(l, Lineage{Term: 2, History: 2, Start: 80, Member: "m2"})
+}
+
+func TestEarlierSettingsCountUntilSettled(t *testing.T) {
+	is := is.New(t)
+	s := applied(t, "a", append(begun(1), Configured{Version: 2, Groups: setting(1, "m1", "m2")})...)
+	g := s.Groups["g"]
+	is.Equal(len(g.Earlier), 1)
+	is.Equal(g.Earlier[0].Members, []bbrtype.MemberName{"m1", "m2", "m3"})
+	effective, err := s.Apply(Record{Index: s.Applied + 1, Writer: "a", Entries: []Entry{Settled{Group: "g", Term: 1, Since: g.SetAt, Floor: 64}}})
+	is.NoErr(err)
+	is.Equal(len(effective), 1)
+	is.Equal(len(s.Groups["g"].Earlier), 0)
+	is.Equal(s.Groups["g"].Floor, bbrtype.Position(64))
+}
+
+func TestFate(t *testing.T) {
+	g := &Group{Term: 4, Fenced: true, Lineage: []Lineage{
+		{Term: 1, History: 1}, {Term: 2, History: 1, Start: 50}, {Term: 3, History: 3, Start: 80},
+	}}
+	cases := map[string]struct {
+		term bbrtype.Term
+		p    bbrtype.Position
+		want Fate
+	}{
+		"in the present history":           {3, 500, FateKept},
+		"before the fork":                  {1, 80, FateKept},
+		"behind the fork":                  {1, 81, FateLost},
+		"of a term that kept the history":  {2, 60, FateKept},
+		"of a fenced term without primary": {4, 10, FateAhead},
+		"of a term to come":                {5, 10, FateAhead},
+		"of a term that is not kept":       {0, 10, FateUnknown},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(g.Fate(c.term, c.p), c.want)
+		})
+	}
+}
+
+func TestIncludesAndShared(t *testing.T) {
+	is := is.New(t)
+	g := &Group{Lineage: []Lineage{{Term: 1, History: 1}, {Term: 2, History: 2, Start: 50}, {Term: 3, History: 3, Start: 40}}}
+	is.True(g.Includes(1, 40))
+	is.True(!g.Includes(1, 41)) // the third history branched off before
+	is.True(!g.Includes(2, 45))
+	is.True(g.Includes(3, 1000))
+	is.True(!g.Includes(9, 0)) // a history of nobody's
+	shared, ok := g.Shared(2, 70)
+	is.True(ok)
+	is.Equal(shared, bbrtype.Position(40))
+}
+
+// entryGen draws entries of all kinds, most of them void.
+func entryGen() *rapid.Generator[Entry] {
+	member := rapid.SampledFrom([]bbrtype.MemberName{"m1", "m2", "m3"})
+	id := rapid.SampledFrom([]bbrtype.InstanceID{"a", "b", "c"})
+	term := rapid.Custom(func(t *rapid.T) bbrtype.Term { return bbrtype.Term(rapid.IntRange(0, 6).Draw(t, "term")) })
+	return rapid.Custom(func(t *rapid.T) Entry {
+		switch rapid.IntRange(0, 6).Draw(t, "kind") {
+		case 0:
+			return Configured{
+				Version: uint64(rapid.IntRange(1, 5).Draw(t, "version")), Hash: "h",
+				Groups: setting(rapid.IntRange(0, 2).Draw(t, "confirm"), rapid.SliceOfNDistinct(member, 0, 3, rapid.ID[bbrtype.MemberName]).Draw(t, "members")...),
+			}
+		case 1:
+			return MembershipChanged{Joined: []Instance{{ID: id.Draw(t, "joined")}}}
+		case 2:
+			return MembershipChanged{Left: []bbrtype.InstanceID{id.Draw(t, "left")}}
+		case 3:
+			return StewardsNamed{Stewards: rapid.SliceOfN(id, 1, 3).Draw(t, "stewards"), TakenOver: rapid.Bool().Draw(t, "taken")}
+		case 4:
+			return Fenced{Group: "g", Term: term.Draw(t, "fence")}
+		case 5:
+			return CandidateChosen{Group: "g", Member: member.Draw(t, "candidate"), Term: term.Draw(t, "term")}
+		}
+		return PrimaryNamed{Group: "g", Member: member.Draw(t, "primary"), Term: term.Draw(t, "term"), History: 1}
+	})
+}
+
+// TestReplicasAgree applies the same records to two states, one of them by way
+// of the stored form and a snapshot.
+func TestReplicasAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.NewRelaxed(t)
+		a, b := &State{}, &State{}
+		n := rapid.IntRange(1, 60).Draw(t, "records")
+		cut := rapid.IntRange(0, n).Draw(t, "snapshot")
+		lastVersion, lastTerm := uint64(0), bbrtype.Term(0)
+		for i := range n {
+			r := Record{
+				Index: bbrtype.Index(i + 1), Writer: rapid.SampledFrom([]bbrtype.InstanceID{"a", "b", "c"}).Draw(t, "writer"),
+				Entries: rapid.SliceOfN(entryGen(), 0, 3).Draw(t, "entries"),
+			}
+			stored, err := json.Marshal(r)
+			is.NoErr(err)
+			var read Record
+			is.NoErr(json.Unmarshal(stored, &read))
+			before := a.Clone()
+			_, err = a.Apply(r)
+			is.NoErr(err)
+			_, err = b.Apply(read)
+			is.NoErr(err)
+			if i == cut {
+				snapshot, err := json.Marshal(b)
+				is.NoErr(err)
+				b = &State{}
+				is.NoErr(json.Unmarshal(snapshot, b))
+			}
+			v, _ := a.Version()
+			is.True(v.Version >= lastVersion) // nothing accepted reverts
+			lastVersion = v.Version
+			if g := a.Groups["g"]; g != nil {
+				is.True(g.Term >= lastTerm)
+				lastTerm = g.Term
+				if old := before.Groups["g"]; old != nil && len(g.Lineage) > 0 && len(old.Lineage) == len(g.Lineage) {
+					is.Equal(g.Lineage, old.Lineage) // a named primary stays named
+				}
+			}
+		}
+		x, err := json.Marshal(a)
+		is.NoErr(err)
+		y, err := json.Marshal(b)
+		is.NoErr(err)
+		is.Equal(string(x), string(y))
+	})
+}
+
+func FuzzRecord(f *testing.F) {
+	f.Add([]byte(`{"index":1,"writer":"a","nonce":"n","entries":[{"kind":"fenced","body":{"group":"g","term":1}}]}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var r Record
+		if json.Unmarshal(b, &r) != nil {
+			return
+		}
+		again, err := json.Marshal(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var back Record
+		if err := json.Unmarshal(again, &back); err != nil {
+			t.Fatalf("%s does not decode: %v", again, err)
+		}
+		_, _ = (&State{}).Apply(r)
+	})
+}
--- a/bbrproxy/keyed.go
+++ b/bbrproxy/keyed.go
@@ -81,7 +81,7 @@
 	p := c.newPlan(conn)
 	p.addQuery(roleKey, "BEGIN; "+insertKeySQL(c.tenant, r.key, fingerprint(r.batch)))
 	c.addKeyedBody(p, r, conn)
-	return c.runKeyedPlan(r, l, pool, conn, p, 0)
+	return c.runKeyedPlan(r, l, pool, conn, p)
 }
 
 // addKeyedBody adds the caller's batch, the commit and the look at the state.
@@ -92,7 +92,7 @@
 }
 
 // runKeyedPlan sends a keyed write and decides what the caller is told.
-func (c *session) runKeyedPlan(r *request, l bbrjournal.Lineage, pool *bbrpool.Pool, conn *bbrpool.Conn, p *plan, attempt uint64) error {
+func (c *session) runKeyedPlan(r *request, l bbrjournal.Lineage, pool *bbrpool.Pool, conn *bbrpool.Conn, p *plan) error {
 	pm := c.newPump(conn, c.silentCheck(r.group, pool, conn, l.Member))
 	pm.holdTags = true
 	sentAt := c.srv.deps.Clock.Now()
@@ -102,7 +102,7 @@
 		pm.withdraw()
 		pool.Discard(conn)
 		c.connectionLost(r.group, l.Member, err)
-		return c.resolve(r, attempt)
+		return c.resolve(r)
 	}
 	c.answered(r.group, l.Member)
 	pool.Release(conn, took)
@@ -123,7 +123,7 @@
 	err = c.acknowledge(r.group, l, pm, sentAt, true)
 	var told *bbroutcome.Error
 	if errors.As(err, &told) && told.Reason == bbroutcome.ReasonUnknown {
-		return c.resolve(r, attempt)
+		return c.resolve(r)
 	}
 	return err
 }
@@ -159,8 +159,8 @@
 			return bbroutcome.New(bbroutcome.ReasonAlreadyRun, "request %q was run before", r.key)
 		case bbrrequest.TellKeyReused:
 			return bbroutcome.New(bbroutcome.ReasonKeyReused, "request key %q belongs to another request", r.key)
-		case bbrrequest.TellNotRun:
-			return bbroutcome.New(bbroutcome.ReasonResolvedNotRun, "request %q was not run", r.key)
+		case bbrrequest.Close:
+			return c.resolve(r)
 		case bbrrequest.Claim:
 			if r.batch.info.Control != "" {
 				return bbroutcome.New(bbroutcome.ReasonRolledBack, "request key %q is marked as not run: give the new try a key of its own", r.key)
@@ -197,7 +197,7 @@
 	}
 	p := &plan{}
 	c.addKeyedBody(p, r, conn)
-	return c.runKeyedPlan(r, l, pool, conn, p, attempt)
+	return c.runKeyedPlan(r, l, pool, conn, p)
 }
 
 // notSent turns an error before anything was sent into the caller's.
@@ -212,12 +212,12 @@
 // resolve finds out the fate of a keyed request whose answer was lost. A
 // tombstone under the key makes a request that has not run impossible to run
 // later. Until it succeeds the fate is unknown.
-func (c *session) resolve(r *request, attempt uint64) error {
+func (c *session) resolve(r *request) error {
 	now := c.srv.deps.Clock.Now()
 	r.deadline = now.Add(c.srv.opts.ResolvePatience)
 	mark := fingerprint(r.batch)
 	for {
-		verdict, err := c.tryResolve(r, attempt, mark)
+		verdict, err := c.tryResolve(r, mark)
 		if err == nil {
 			return verdict
 		}
@@ -229,12 +229,9 @@
 
 // tryResolve makes one try. It returns what the caller is told, or an error if
 // the fate is still unknown.
-func (c *session) tryResolve(r *request, attempt uint64, mark string) (*bbroutcome.Error, error) {
-	sql := tombstoneSQL(c.tenant, r.key, mark)
-	if attempt > 0 {
-		sql = closeSQL(c.tenant, r.key, attempt) + " RETURNING attempt"
-	}
-	rows, err := c.runSystem(r, sql)
+func (c *session) tryResolve(r *request, mark string) (*bbroutcome.Error, error) {
+	notRun := bbroutcome.New(bbroutcome.ReasonResolvedNotRun, "request %q was not run", r.key)
+	_, err := c.runSystem(r, tombstoneSQL(c.tenant, r.key, mark))
 	var refused *bbrpool.MemberError
 	switch {
 	case errors.As(err, &refused) && refused.Code == codeNoTable:
@@ -245,20 +242,26 @@
 	case errors.As(err, &refused) && refused.Code == codeUnique:
 	case err != nil:
 		return nil, err
-	case attempt == 0 || len(rows) == 1:
-		return bbroutcome.New(bbroutcome.ReasonResolvedNotRun, "request %q was not run", r.key), nil
+	default:
+		return notRun, nil
 	}
 	row, found, err := c.lookup(r)
 	if err != nil {
 		return nil, err
 	}
-	switch bbrrequest.OnLost(row, found, mark, attempt) {
+	switch step := bbrrequest.OnLost(row, found, mark); step.Do {
 	case bbrrequest.TellAlreadyRun:
 		return bbroutcome.New(bbroutcome.ReasonAlreadyRun, "request %q was run; its answer is lost", r.key), nil
 	case bbrrequest.TellKeyReused:
 		return bbroutcome.New(bbroutcome.ReasonKeyReused, "request key %q belongs to another request", r.key), nil
-	case bbrrequest.TellNotRun:
-		return bbroutcome.New(bbroutcome.ReasonResolvedNotRun, "request %q was not run", r.key), nil
+	case bbrrequest.Close:
+		rows, err := c.runSystem(r, closeSQL(c.tenant, r.key, step.Attempt)+" RETURNING attempt")
+		if err != nil {
+			return nil, err
+		}
+		if len(rows) == 1 {
+			return notRun, nil
+		}
 	}
 	return nil, errors.Errorf("request key %q is in flux", r.key)
 }
--- a/bbrproxy/lookup.go
+++ b/bbrproxy/lookup.go
@@ -11,6 +11,7 @@
 
 	"github.com/bluebellroute/bluebellroute/bbrconfig"
 	"github.com/bluebellroute/bluebellroute/bbroutcome"
+	"github.com/bluebellroute/bluebellroute/bbrrequest"
 	"github.com/bluebellroute/bluebellroute/bbrstatement"
 	"github.com/bluebellroute/bluebellroute/bbrtype"
 )
@@ -107,13 +108,11 @@
 
 // lookupOnce makes one try.
 func (c *session) lookupOnce(r *request) (RequestState, error) {
-	told, err := c.tryResolve(r, 0, "")
+	told, err := c.tryResolve(r, bbrrequest.AnyFingerprint)
 	if err != nil {
 		return "", err
 	}
-	switch told.Reason {
-	case bbroutcome.ReasonAlreadyRun, bbroutcome.ReasonKeyReused:
-		// A lookup knows no fingerprint: any request under the key counts.
+	if told.Reason == bbroutcome.ReasonAlreadyRun {
 		return RequestRun, nil
 	}
 	return RequestNotRun, nil
--- a/bbrproxy/read.go
+++ b/bbrproxy/read.go
@@ -37,6 +37,11 @@
 // present history. A position that was lost in a change of primary is reported
 // once.
 func (c *session) settleToken(r *request) error {
+	if c.lost != (bbrtoken.Token{}) {
+		lost := c.lost
+		c.lost = bbrtoken.Token{}
+		return positionLost(lost)
+	}
 	if c.token.IsZero() {
 		return nil
 	}
@@ -56,7 +61,7 @@
 		case bbrjournal.FateLost:
 			lost := c.token
 			c.token, c.positionKnown = bbrtoken.Token{}, false
-			return bbroutcome.New(bbroutcome.ReasonPositionLost, "position %s of term %d was lost in a change of primary", lost.Position, lost.Term)
+			return positionLost(lost)
 		case bbrjournal.FateUnknown:
 			c.token, c.positionKnown = bbrtoken.Token{}, false
 			return nil
@@ -67,9 +72,14 @@
 	}
 }
 
+// positionLost tells the caller that it may miss data that it has seen.
+func positionLost(t bbrtoken.Token) error {
+	return bbroutcome.New(bbroutcome.ReasonPositionLost, "position %s of term %d was lost in a change of primary", t.Position, t.Term)
+}
+
 // routing returns what the read needs from its member.
 func (c *session) routing(r *request) bbrroute.Request {
-	q := bbrroute.Request{Position: c.token.Position, SeenAt: c.seenAt, Avoid: r.avoid, PrimaryOnly: true}
+	q := bbrroute.Request{Term: c.token.Term, Position: c.token.Position, SeenAt: c.seenAt, Avoid: r.avoid, PrimaryOnly: true}
 	if p := r.policy; p != nil && p.Replicas == bbrconfig.ReplicasPrefer {
 		q.PrimaryOnly = false
 		q.MaxAge, q.CatchUpWait = p.MaxAge, p.CatchUpWait
@@ -81,6 +91,10 @@
 func (c *session) serveRead(r *request) (bbrmetric.Target, error) {
 	waitUntil := bbrtype.Mono(0)
 	for {
+		// The primary may have changed while the read waited.
+		if err := c.settleToken(r); err != nil {
+			return "", err
+		}
 		q := c.routing(r)
 		if err := c.learnPosition(r, &q); err != nil {
 			return "", err
@@ -188,7 +202,7 @@
 			return errStale
 		}
 	}
-	check := func(st *bbrmember.State) error {
+	check := func(st *bbrmember.State, _ bbrtype.Mono) error {
 		if c.srv.opts.Baseline == BaselineRandom {
 			return nil
 		}
@@ -196,7 +210,7 @@
 			return errStale
 		}
 		if l, ok := g.Last(); ok {
-			c.raise(bbrtoken.Token{Group: r.group.Name, Term: l.Term, Position: st.Position})
+			c.raise(g, bbrtoken.Token{Group: r.group.Name, Term: l.Term, Position: st.Position})
 		}
 		return nil
 	}
@@ -222,29 +236,35 @@
 	if err != nil {
 		return err
 	}
-	check := func(st *bbrmember.State) error {
+	check := func(st *bbrmember.State, sentAt bbrtype.Mono) error {
 		now := c.srv.deps.Clock.Now()
 		v := c.srv.deps.Registry.View()
-		if !isPrimaryNow(v, r.group.Name, l, now, q.MaxAge) || st == nil || !st.Primary || st.History != l.History {
+		if !isPrimaryStill(v, r.group.Name, l) || !q.IsKept(v.Group(r.group.Name)) ||
+			!bbrroute.IsPrimaryFresh(now, v.Until, sentAt, q.MaxAge) || st == nil || !st.Primary || st.History != l.History {
 			return errStale
 		}
-		c.raise(bbrtoken.Token{Group: r.group.Name, Term: l.Term, Position: st.Position})
+		c.raise(v.Group(r.group.Name), bbrtoken.Token{Group: r.group.Name, Term: l.Term, Position: st.Position})
 		return nil
 	}
 	return c.runRead(r, pool, conn, l.Member, false, check)
 }
 
-// isPrimaryNow reports whether a member was the primary of a term until no more
-// than maxAge ago.
-func isPrimaryNow(v *bbrgroup.View, name bbrtype.GroupName, l bbrjournal.Lineage, now bbrtype.Mono, maxAge time.Duration) bool {
+// isPrimaryStill reports whether the journal, as far as it is applied, names a
+// member the primary of the same term.
+func isPrimaryStill(v *bbrgroup.View, name bbrtype.GroupName, l bbrjournal.Lineage) bool {
 	g := v.Group(name)
-	if g == nil || now >= v.Until.Add(maxAge) {
+	if g == nil {
 		return false
 	}
 	cur, ok := g.Primary()
 	return ok && cur.Term == l.Term && cur.Member == l.Member
 }
 
+// isPrimaryAt reports whether a member was the primary at a time.
+func isPrimaryAt(v *bbrgroup.View, name bbrtype.GroupName, l bbrjournal.Lineage, at bbrtype.Mono) bool {
+	return isPrimaryStill(v, name, l) && at < v.Until
+}
+
 // awaitPrimary waits until the group has a primary that this instance may
 // rely on.
 func (c *session) awaitPrimary(r *request, maxAge time.Duration) (bbrjournal.Lineage, *bbrpool.Pool, error) {
@@ -282,7 +302,7 @@
 
 // runRead sends a read with a look at the member's state behind it, and passes
 // the answer on if the check finds it good.
-func (c *session) runRead(r *request, pool *bbrpool.Pool, conn *bbrpool.Conn, m bbrtype.MemberName, replica bool, check func(*bbrmember.State) error) error {
+func (c *session) runRead(r *request, pool *bbrpool.Pool, conn *bbrpool.Conn, m bbrtype.MemberName, replica bool, check func(st *bbrmember.State, sentAt bbrtype.Mono) error) error {
 	begins := r.batch.info.Control != ""
 	p := c.newPlan(conn)
 	p.addBatch(r.batch, conn)
@@ -320,7 +340,7 @@
 	if pm.ans.refused != nil && pm.ans.state == nil {
 		return nil
 	}
-	if err := check(pm.ans.state); err != nil {
+	if err := check(pm.ans.state, sentAt); err != nil {
 		return c.readFailed(pm, err)
 	}
 	return nil
@@ -352,8 +372,13 @@
 	}
 }
 
-// raise moves the token forward.
-func (c *session) raise(t bbrtoken.Token) {
+// raise moves the token forward, as seen by a group's lineage. If the history
+// that the token goes to does not include the old position, the caller is told
+// with its next statement.
+func (c *session) raise(g *bbrjournal.Group, t bbrtoken.Token) {
+	if c.token.Group == t.Group && c.token.Term < t.Term && g.Fate(c.token.Term, c.token.Position) == bbrjournal.FateLost {
+		c.lost = c.token
+	}
 	next := c.token
 	if next.Group != t.Group {
 		next = bbrtoken.Token{}
@@ -376,8 +401,9 @@
 	if err != nil {
 		return err
 	}
-	c.raise(t)
-	q.Position = c.token.Position
+	c.token, c.positionKnown = t, true
+	c.seenAt = c.srv.deps.Clock.Now()
+	q.Term, q.Position = t.Term, t.Position
 	return nil
 }
 
@@ -479,7 +505,7 @@
 	if err != nil {
 		return bbrtoken.Token{}, err
 	}
-	if !st.Primary || st.History != l.History || !isPrimaryNow(c.srv.deps.Registry.View(), r.group.Name, l, sentAt, 0) {
+	if !st.Primary || st.History != l.History || !isPrimaryAt(c.srv.deps.Registry.View(), r.group.Name, l, sentAt) {
 		return bbrtoken.Token{}, errStale
 	}
 	r.group.Observe(l.Member, st, sentAt)
--- a/bbrproxy/session.go
+++ b/bbrproxy/session.go
@@ -50,6 +50,8 @@
 
 	token       bbrtoken.Token
 	tokenSentAs bbrtoken.Token
+	// lost is a position that was lost and that the caller is to be told of.
+	lost bbrtoken.Token
 	// seenAt is when the token's position was last raised.
 	seenAt bbrtype.Mono
 	// positionKnown is set once the session has a token, its own or one made
--- a/bbrproxy/settings.go
+++ b/bbrproxy/settings.go
@@ -99,7 +99,11 @@
 	if c.token.Group != "" && c.token.Group != t.Group {
 		return bbroutcome.New(bbroutcome.ReasonBadToken, "the token is for group %q, the session uses %q", t.Group, c.token.Group)
 	}
-	c.raise(t)
+	if g := c.srv.deps.Registry.View().Group(t.Group); g != nil {
+		c.raise(g, t)
+	} else {
+		c.token, c.positionKnown = t, true
+	}
 	c.tokenSentAs = c.token
 	return nil
 }
--- a/bbrproxy/transaction.go
+++ b/bbrproxy/transaction.go
@@ -123,7 +123,7 @@
 		return bbroutcome.New(bbroutcome.ReasonRolledBack, "the connection to member %q broke at the end of the transaction, which wrote nothing", t.member)
 	}
 	if r.key != "" {
-		return c.resolve(r, 0)
+		return c.resolve(r)
 	}
 	return bbroutcome.New(bbroutcome.ReasonUnknown, "the connection to the primary broke before the commit's result was known: %v", err)
 }
--- a/bbrproxy/write.go
+++ b/bbrproxy/write.go
@@ -155,19 +155,29 @@
 	}
 	g.Observe(l.Member, *st, sentAt)
 	cfg := g.Config()
-	if copies := cfg.Copies(keyed); copies > 0 {
+	copies := cfg.Copies(keyed)
+	v := c.srv.deps.Registry.View()
+	for copies > 0 {
 		ctx, cancel := context.WithTimeout(c.srv.ctx, cfg.ConfirmWait)
 		err := g.AwaitCopies(ctx, st.Position, copies)
 		cancel()
 		if err != nil {
 			return bbroutcome.New(bbroutcome.ReasonUnknown, "committed on the primary, but %d replicas did not confirm it within %v", copies, cfg.ConfirmWait)
 		}
+		// The view that counts the copies must be the one that gives the
+		// authority.
+		v = c.srv.deps.Registry.View()
+		jg := v.Group(g.Name)
+		if jg == nil || g.Tracker.Copies(jg, st.Position) >= max(copies, jg.Confirm) {
+			break
+		}
+		copies = max(copies, jg.Confirm)
 	}
 	now := c.srv.deps.Clock.Now()
-	if !c.srv.deps.Registry.View().MayAcknowledge(now, g.Name, l.Member, l.Term) {
+	if !v.MayAcknowledge(now, g.Name, l.Member, l.Term) {
 		return bbroutcome.New(bbroutcome.ReasonUnknown, "the authority to acknowledge writes of term %d ran out", l.Term)
 	}
-	c.raise(bbrtoken.Token{Group: g.Name, Term: l.Term, Position: st.Position})
+	c.raise(v.Group(g.Name), bbrtoken.Token{Group: g.Name, Term: l.Term, Position: st.Position})
 	return nil
 }
 
--- a/bbrrequest/request.go
+++ b/bbrrequest/request.go
@@ -52,14 +52,19 @@
 const (
 	TellAlreadyRun Do = "tellAlreadyRun"
 	TellKeyReused  Do = "tellKeyReused"
-	TellNotRun     Do = "tellNotRun"
 	// Claim runs the request as the row's attempt.
 	Claim Do = "claim"
+	// Close raises the row's attempt, so that the present one can't run any
+	// more. Then the request was not run.
+	Close Do = "close"
 	// TryAgain means that the row does not decide it yet.
 	TryAgain Do = "tryAgain"
 )
 
-// Step is a decision. Attempt goes with Claim.
+// AnyFingerprint stands for whatever request came under a key.
+const AnyFingerprint = ""
+
+// Step is a decision. Attempt goes with Claim and Close.
 type Step struct {
 	Do      Do
 	Attempt uint64
@@ -76,25 +81,25 @@
 	case row.Outcome == OutcomeNotRun && row.IsBefore(arrived):
 		return Step{Do: Claim, Attempt: row.Attempt}
 	case row.Outcome == OutcomeNotRun:
-		return Step{Do: TellNotRun}
+		return Step{Do: Close, Attempt: row.Attempt}
 	case row.Fingerprint != fingerprint:
 		return Step{Do: TellKeyReused}
 	}
 	return Step{Do: TellAlreadyRun}
 }
 
-// OnLost decides about a request whose answer was lost, after a tombstone could
-// not be placed. attempt is the attempt that was lost.
-func OnLost(row Row, found bool, fingerprint string, attempt uint64) Do {
+// OnLost decides about a request whose fate is asked for, after a tombstone
+// could not be placed because its key is taken. A later attempt under the key
+// may be on its way: it is closed before anybody is told that the request was
+// not run.
+func OnLost(row Row, found bool, fingerprint string) Step {
 	switch {
 	case !found:
-		return TryAgain
-	case row.Outcome == OutcomeNotRun && row.Attempt > attempt:
-		return TellNotRun
+		return Step{Do: TryAgain}
 	case row.Outcome == OutcomeNotRun:
-		return TryAgain
-	case row.Fingerprint != fingerprint:
-		return TellKeyReused
+		return Step{Do: Close, Attempt: row.Attempt}
+	case fingerprint != AnyFingerprint && row.Fingerprint != fingerprint:
+		return Step{Do: TellKeyReused}
 	}
-	return TellAlreadyRun
+	return Step{Do: TellAlreadyRun}
 }
--- a/bbrroute/route.go
+++ b/bbrroute/route.go
@@ -43,7 +43,9 @@
 
 // Request is what a read needs.
 type Request struct {
-	// Position is what the caller has seen, in the group's present term.
+	// Term and Position are what the caller has seen. A Term of 0 has seen
+	// nothing.
+	Term     bbrtype.Term
 	Position bbrtype.Position
 	// SeenAt is when the caller saw it, 0 if unknown.
 	SeenAt bbrtype.Mono
@@ -59,6 +61,12 @@
 	Avoid []bbrtype.MemberName
 }
 
+// IsKept reports whether the group's present history includes what the caller
+// has seen. Positions of different histories can't be compared.
+func (r Request) IsKept(g *bbrjournal.Group) bool {
+	return r.Term == 0 || g.Fate(r.Term, r.Position) == bbrjournal.FateKept
+}
+
 // Target tells where a read goes.
 type Target string
 
@@ -245,7 +253,7 @@
 // Serves reports whether a state, as read along with a read's answer, meets the
 // request. The samples must cover it.
 func (t *Tracker) Serves(now bbrtype.Mono, g *bbrjournal.Group, st bbrmember.State, r Request) bool {
-	if st.Primary || st.Position < r.Position || !g.Includes(st.History, st.Position) {
+	if st.Primary || st.Position < r.Position || !r.IsKept(g) || !g.Includes(st.History, st.Position) {
 		return false
 	}
 	t.mu.Lock()
@@ -254,11 +262,22 @@
 	return ok && age <= r.MaxAge
 }
 
+// IsPrimaryFresh reports whether an answer of the primary may be passed on. The
+// member was known to be the primary until the end of the authority, and its
+// data is as old as the request that read it. A maxAge of 0 asks for authority
+// at this moment.
+func IsPrimaryFresh(now, until, sentAt bbrtype.Mono, maxAge time.Duration) bool {
+	if maxAge == 0 {
+		return now < until
+	}
+	return now.Sub(min(sentAt, until)) <= maxAge
+}
+
 // Choose picks the member for a read.
 func (t *Tracker) Choose(now bbrtype.Mono, g *bbrjournal.Group, r Request) Decision {
 	primary, _ := g.Last()
 	toPrimary := Decision{Target: TargetPrimary, Member: primary.Member}
-	if r.PrimaryOnly {
+	if r.PrimaryOnly || !r.IsKept(g) {
 		return toPrimary
 	}
 	t.mu.Lock()
--- a/bbrtrial/workload.go
+++ b/bbrtrial/workload.go
@@ -216,6 +216,7 @@
 
 // move leaves the instance for another one.
 func (c *caller) move() {
+	c.token = c.conn.PgConn().ParameterStatus("bbr.token")
 	c.close()
 	c.instance = c.pickInstance()
 	if c.r.Float64() >= c.w.load.TokenShare {
