--- a/bbrcontrol/control.go
+++ b/bbrcontrol/control.go
@@ -337,7 +337,7 @@
 	c.planAppend(now)
 	c.planExchange(now)
 	c.planSnapshot(now)
-	if c.drained && !c.left && !c.IsMember() && c.joinAt != 0 {
+	if c.drained && !c.left && !c.IsMember() {
 		c.left = true
 		c.do(Left{})
 	}
