Add the experiment tool, with process fleets and baselines

Cause: nothing measured the two measures on real processes. bbrbench starts a fleet of processes, loads it open-loop, disturbs it and judges by the members' logs. Baselines are policies of the same program: all reads to the primary, a random replica, a fixed quota, a fence that is always waited out. A member that answers at once measures the instance by itself.

Distances between data centres are made in the stand-in, by the data centre that an instance names when it connects, so that many statements can be on their way at once.

--- a/bbrcommand/command.go
+++ b/bbrcommand/command.go
@@ -111,3 +111,7 @@
 		_, _ = fmt.Fprintln(w, p.Error())
 	}
 }
+
+// InstanceCommands returns the commands that another program needs to run
+// instances of its own.
+func InstanceCommands() []*cli.Command { return []*cli.Command{serveCommand(), applyCommand()} }
--- a/bbrcommand/demo.go
+++ b/bbrcommand/demo.go
@@ -100,7 +100,10 @@
 	if ctx.Err() == nil {
 		<-ended
 	}
-	r := w.Judge()
+	r, err := w.Judge()
+	if err != nil {
+		return nil, err
+	}
 	r.FailoverGapMs = w.Gap(demoGroup, killedAt).Milliseconds()
 	return r, nil
 }
--- a/bbrcontrol/change.go
+++ b/bbrcontrol/change.go
@@ -235,7 +235,7 @@
 		if gc == nil || gc.change == nil || !gc.change.Unconfirmed(id) {
 			continue
 		}
-		if applied >= c.state.Groups[name].FencedAt {
+		if applied >= c.state.Groups[name].FencedAt && !c.opts.WaitOut {
 			c.stepChange(now, name, bbrfailover.Confirmed{Instance: id})
 		}
 	}
--- a/bbrcontrol/control.go
+++ b/bbrcontrol/control.go
@@ -69,6 +69,9 @@
 	StewardCount int
 	// ProbersPerMember is the number of instances that probe each member.
 	ProbersPerMember int
+	// WaitOut makes a fence wait until all authority has run out, also of
+	// instances that have confirmed it. Measurements compare with it.
+	WaitOut bool
 	// SnapshotEvery is the number of records between two snapshots.
 	SnapshotEvery bbrtype.Index
 }
--- a/bbrgroup/registry.go
+++ b/bbrgroup/registry.go
@@ -182,7 +182,7 @@
 
 // endpoint works out how a member is reached.
 func (r *Registry) endpoint(gc *bbrconfig.Group, m bbrconfig.Member) bbrpool.Endpoint {
-	e := bbrpool.Endpoint{Address: m.Address, Database: gc.Database, User: gc.User}
+	e := bbrpool.Endpoint{Address: m.Address, Database: gc.Database, User: gc.User, DataCentre: string(r.deps.DataCentre)}
 	if gc.Password != "" && r.deps.Secrets != nil {
 		e.Password, _ = r.deps.Secrets.Secret(gc.Password)
 	}
--- a/bbrinstance/instance.go
+++ b/bbrinstance/instance.go
@@ -102,6 +102,8 @@
 // Options are the settings of an instance.
 type Options struct {
 	Control bbrcontrol.Options
+	// FixedQuota divides connections equally among the instances.
+	FixedQuota bool
 	// Seeds are addresses of other instances, beside the platform's list.
 	Seeds []string
 }
--- a/bbrinstance/quota.go
+++ b/bbrinstance/quota.go
@@ -212,6 +212,9 @@
 	}
 	out := map[bbrmember.Ref]int{}
 	for ref, a := range r.Asks {
+		if q.i.opts.FixedQuota {
+			a.Want = v.Config.Groups[ref.Group].Connections
+		}
 		if g := q.granters[ref]; g != nil {
 			out[ref] = g.Renew(now, r.From, a)
 			g.Known(ids)
--- a/bbrintegration/fleet_test.go
+++ b/bbrintegration/fleet_test.go
@@ -26,6 +26,7 @@
 	"github.com/bluebellroute/bluebellroute/bbrstandinplatform"
 	"github.com/bluebellroute/bluebellroute/bbrstatus"
 	"github.com/bluebellroute/bluebellroute/bbrtesthelpers"
+	"github.com/bluebellroute/bluebellroute/bbrtrial"
 )
 
 // deadline bounds what a test waits for. No test asserts how long it took.
@@ -81,7 +82,7 @@
 	// link carries what instances send to the member.
 	link *toxiproxy.Proxy
 	// silencer, if set, lies before the link.
-	silencer *bbrtesthelpers.Silencer
+	silencer *bbrtrial.Link
 }
 
 func (m *member) address() string {
@@ -156,7 +157,7 @@
 		}
 		m.link = f.link(m.name, m.direct)
 		if o.silencers {
-			m.silencer = bbrtesthelpers.NewSilencer(t, m.link.Listen)
+			m.silencer = f.silencer(m.link.Listen)
 		}
 		f.members = append(f.members, m)
 	}
@@ -183,6 +184,18 @@
 	return p
 }
 
+// silencer starts a link that can make the open connections silent while new
+// ones work, which toxiproxy can't.
+func (f *fleet) silencer(upstream string) *bbrtrial.Link {
+	f.t.Helper()
+	l, err := bbrtrial.NewLink(upstream)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(l.Close)
+	return l
+}
+
 // silence makes a proxy swallow what flows in one direction: upstream or
 // downstream.
 func (f *fleet) silence(p *toxiproxy.Proxy, stream string) {
--- a/bbrkernel/control.go
+++ b/bbrkernel/control.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/pkg/errors"
@@ -29,8 +30,19 @@
 	tls    *tls.Config
 }
 
-func newControlServer(i *bbrinstance.Instance, p *bbrproxy.Server, r *reporter, admin http.Handler, m *bbrmetric.Set, cfg *tls.Config) *controlServer {
+// handleProfiles serves profiles of the process.
+func handleProfiles(mux *http.ServeMux) {
+	mux.HandleFunc("/debug/pprof/", pprof.Index)
+	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("/debug/pprof/symbol", pprof.Symbol)
+	mux.HandleFunc("/debug/pprof/trace", pprof.Trace)
+}
+
+func newControlServer(i *bbrinstance.Instance, p *bbrproxy.Server, r *reporter, admin http.Handler, m *bbrmetric.Set, cfg *tls.Config, profiling bool) *controlServer {
 	mux := http.NewServeMux()
+	if profiling {
+		handleProfiles(mux)
+	}
 	mux.Handle(bbrpeer.PathPrefix, bbrpeer.NewHandler(i))
 	mux.Handle(bbradmin.PathPrefix, admin)
 	mux.Handle("/metrics", m.Handler())
--- a/bbrkernel/kernel.go
+++ b/bbrkernel/kernel.go
@@ -205,7 +205,7 @@
 	i := bbrinstance.New(bbrinstance.Deps{
 		Clock: clock, Journal: bbrstore.NewTable(s.Store), Bodies: objects, List: bbrstore.NewList(s.Store),
 		Peers: peers, Registry: r, Metrics: m, Log: log.WithField("instance", s.Name), Group: group,
-	}, bbrinstance.Options{Control: opts, Seeds: s.Seeds})
+	}, bbrinstance.Options{Control: opts, Seeds: s.Seeds, FixedQuota: s.FixedQuota})
 	e.target.Store(i)
 	return i, nil
 }
@@ -228,7 +228,7 @@
 	adminKey, _ := k.settings.Secret("adminKey")
 	reporter := &reporter{instance: i, proxy: p, registry: r, name: k.settings.Name}
 	admin := bbradmin.NewHandler(bbradmin.Deps{Instance: i, AdminKey: adminKey, Status: reporter.report, Log: k.log})
-	control := newControlServer(i, p, reporter, admin, m, c.peerServer)
+	control := newControlServer(i, p, reporter, admin, m, c.peerServer, k.settings.Profiling)
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			group.Go(func() error { return control.serve(l.control) })
--- a/bbrpool/dial.go
+++ b/bbrpool/dial.go
@@ -33,6 +33,8 @@
 	Database string
 	User     string
 	Password string
+	// DataCentre is the instance's own, which members are told.
+	DataCentre string
 	// TLS is nil for a connection in the clear.
 	TLS *tls.Config
 }
@@ -86,7 +88,7 @@
 	cfg.Database, cfg.User, cfg.Password = e.Database, e.User, e.Password
 	cfg.DialFunc = dialer.DialContext
 	cfg.Fallbacks = nil
-	cfg.RuntimeParams = map[string]string{"application_name": "bluebellroute"}
+	cfg.RuntimeParams = map[string]string{"application_name": "bluebellroute/" + e.DataCentre}
 	if e.TLS != nil {
 		cfg.TLSConfig = e.TLS.Clone()
 		cfg.TLSConfig.ServerName = host
--- a/bbrsettings/settings.go
+++ b/bbrsettings/settings.go
@@ -73,12 +73,17 @@
 	// unless set.
 	Advertised string
 	Seeds      []string
+	// Profiling serves profiles of the process on the control port.
+	Profiling bool
 
 	Store  bbrstore.Options
 	TLS    TLS
 	Limits bbrproxy.Options
 	// Timing are the options of the control logic.
 	Timing bbrcontrol.Options
+	// FixedQuota divides connections equally, without regard to demand.
+	// Measurements compare with it.
+	FixedQuota bool
 	// Drain bounds a planned stop.
 	Drain time.Duration
 
@@ -155,6 +160,7 @@
 	p.s.Control = r.Address("control", DefaultControl)
 	p.s.Advertised = r.Address("advertised", p.s.Control)
 	p.s.Seeds = r.List("seeds")
+	p.s.Profiling = r.Boolean("profiling", false)
 	if p.s.Name == "" || strings.ContainsAny(p.s.Name, " /") {
 		r.Problem("name", fmt.Sprintf("%q is not a name", p.s.Name), "give the instance a name of its own, without spaces and slashes")
 	}
@@ -218,6 +224,7 @@
 		Baseline:        bbrini.Choice(r, "baseline", bbrproxy.BaselineNone, bbrproxy.BaselineNone, bbrproxy.BaselinePrimary, bbrproxy.BaselineRandom),
 	}
 	p.s.Drain = r.Duration("drain", DefaultDrain)
+	p.s.FixedQuota = r.Boolean("fixedQuota", false)
 }
 
 // timing reads durations that all instances of a fleet must share.
@@ -235,6 +242,7 @@
 	o.Limits.Silent = r.Duration("silentAfter", o.Limits.Silent)
 	o.RemoveAfter = r.Duration("removeAfter", o.RemoveAfter)
 	o.StewardCount = r.Integer("stewards", o.StewardCount, 1, 5)
+	o.WaitOut = r.Boolean("waitOut", false)
 	p.s.Timing = o
 	if o.Authority.Margin*4 > o.Authority.Duration {
 		r.Problem("authorityMargin", fmt.Sprintf("%v is more than a quarter of the authority's %v", o.Authority.Margin, o.Authority.Duration), "lower it")
--- a/bbrstandindb/database.go
+++ b/bbrstandindb/database.go
@@ -42,6 +42,10 @@
 	Slots int
 	// ServiceTime is the time that each statement occupies a slot.
 	ServiceTime time.Duration
+	// DataCentre is where the member runs. A client whose application name
+	// ends in another data centre is FarDelay away, one way.
+	DataCentre string
+	FarDelay   time.Duration
 	// Password, if set, is asked from each client by SCRAM-SHA-256.
 	Password string
 }
--- a/bbrstandindb/server.go
+++ b/bbrstandindb/server.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"net"
+	"strings"
 	"sync"
 	"time"
 
@@ -105,7 +106,6 @@
 }
 
 func (s *Server) serve(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
 	c := &session{
 		db:         s.db,
 		server:     s,
@@ -114,11 +114,13 @@
 		statements: map[string]*statement{},
 		portals:    map[string]*portal{},
 	}
+	defer func() { _ = c.conn.Close() }()
 	startup, err := c.startup()
 	if err != nil || startup == nil {
 		return
 	}
 	replication := startup.Parameters["database"] == replicationDatabase
+	c.moveAway(startup.Parameters["application_name"])
 	if !s.register(c, replication) {
 		c.fail(sqlErrorf(codeTooMany, "sorry, too many clients already"))
 		return
@@ -136,6 +138,16 @@
 	c.run()
 }
 
+// moveAway puts the distance between two data centres before a client.
+func (c *session) moveAway(application string) {
+	_, centre, known := strings.Cut(application, "/")
+	if !known || centre == c.db.opts.DataCentre || c.db.opts.FarDelay == 0 {
+		return
+	}
+	c.conn = newDelayConn(c.conn, c.db.opts.FarDelay)
+	c.be = pgproto3.NewBackend(c.conn, c.conn)
+}
+
 // register counts a client. It returns false if there are too many.
 func (s *Server) register(c *session, replication bool) bool {
 	s.mu.Lock()
--- a/bbrtrial/fleet.go
+++ b/bbrtrial/fleet.go
@@ -14,7 +14,6 @@
 import (
 	"context"
 	"fmt"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,79 +22,12 @@
 	"github.com/bluebellroute/bluebellroute/bbrconfig"
 	"github.com/bluebellroute/bluebellroute/bbrjournal"
 	"github.com/bluebellroute/bluebellroute/bbrkernel"
-	"github.com/bluebellroute/bluebellroute/bbrproxy"
 	"github.com/bluebellroute/bluebellroute/bbrsettings"
 	"github.com/bluebellroute/bluebellroute/bbrstandindb"
 	"github.com/bluebellroute/bluebellroute/bbrstandinplatform"
 	"github.com/bluebellroute/bluebellroute/bbrtype"
 )
 
-// Secrets of trial fleets. They protect nothing.
-const (
-	trialPassword = "trial"
-	trialKey      = "a key for trials only"
-)
-
-// startTimeout bounds the start of a fleet.
-const startTimeout = 20 * time.Second
-
-// Shape describes a fleet.
-type Shape struct {
-	Name        string
-	DataCentres []bbrtype.DataCentre
-	Instances   int
-	Groups      []bbrtype.GroupName
-	Members     int
-	Connections int
-	Slots       int
-	// ConnectDelay is the time that a new connection to a member takes.
-	ConnectDelay time.Duration
-	// Lag is the replicas' delay of replay.
-	Lag time.Duration
-	// ServiceTime is the time that a statement occupies a slot.
-	ServiceTime time.Duration
-	MaxAge      time.Duration
-	CatchUpWait time.Duration
-	Patience    time.Duration
-	Baseline    bbrproxy.Baseline
-	// Confirm is the group's key of the same name.
-	Confirm int
-	// Tune changes the settings of each instance before it starts.
-	Tune func(*bbrsettings.Settings)
-	Log  logrus.FieldLogger
-}
-
-// Small is the fleet of the demo.
-func Small() Shape {
-	return Shape{
-		Name: "demo", DataCentres: []bbrtype.DataCentre{"north", "south", "east"}, Instances: 3,
-		Groups: []bbrtype.GroupName{"orders"}, Members: 3, Connections: 25, Slots: 3,
-		ConnectDelay: 10 * time.Millisecond, Lag: 20 * time.Millisecond, ServiceTime: 200 * time.Microsecond,
-		MaxAge: 10 * time.Second, CatchUpWait: 100 * time.Millisecond, Patience: 10 * time.Second,
-	}
-}
-
-// Trentvale is a fleet like that of the water works.
-func Trentvale() Shape {
-	s := Small()
-	s.Name = "trentvale"
-	s.DataCentres = []bbrtype.DataCentre{"nottingham", "derby", "leicester", "loughborough"}
-	s.Instances = 8
-	s.Groups = []bbrtype.GroupName{"customers", "billing", "bookings"}
-	return s
-}
-
-// Cedarsteam is a fleet like that of the cooperage.
-func Cedarsteam() Shape {
-	s := Small()
-	s.Name = "cedarsteam"
-	s.DataCentres = []bbrtype.DataCentre{"abbotsford", "chilliwack", "langley", "mission"}
-	s.Instances = 6
-	s.Groups = []bbrtype.GroupName{"orders", "inventory", "finance"}
-	s.Connections = 40
-	return s
-}
-
 // Member is a stand-in database of a fleet.
 type Member struct {
 	Ref    string
@@ -149,7 +81,7 @@
 			return err
 		}
 	}
-	if f.Config, err = f.configText(); err != nil {
+	if f.Config, err = f.Shape.configText(func(g bbrtype.GroupName, n int) string { return f.Members[g][memberName(n)].Addr }); err != nil {
 		return err
 	}
 	if err := f.Apply(ctx, f.Config); err != nil {
@@ -163,7 +95,7 @@
 	f.Members[g] = map[bbrtype.MemberName]*Member{}
 	primary := ""
 	for n := range f.Shape.Members {
-		name := bbrtype.MemberName(fmt.Sprintf("m%d", n+1))
+		name := memberName(n)
 		db := bbrstandindb.New(bbrstandindb.Options{
 			Name: string(g) + "-" + string(name), Primary: n == 0, Follow: primary, Lag: f.Shape.Lag,
 			MaxConnections: f.Shape.Connections, ConnectDelay: f.Shape.ConnectDelay,
@@ -183,14 +115,13 @@
 
 // StartInstance starts the n-th instance.
 func (f *Fleet) StartInstance(ctx context.Context, n int) (*bbrkernel.Kernel, error) {
-	s, problems := bbrsettings.Parse("trial", []byte(f.settingsText(n)))
+	s, problems := bbrsettings.Parse("trial", []byte(f.Shape.settingsText(n, f.Platform.Addr())))
 	if len(problems) > 0 {
 		return nil, errors.Wrap(problems[0], "settings of a trial instance")
 	}
 	if f.Shape.Tune != nil {
 		f.Shape.Tune(s)
 	}
-	s.Limits.Baseline = f.Shape.Baseline
 	k, err := bbrkernel.New(s, f.Shape.Log)
 	if err != nil {
 		return nil, err
@@ -205,55 +136,6 @@
 	return k, nil
 }
 
-func (f *Fleet) settingsText(n int) string {
-	dc := f.Shape.DataCentres[n%len(f.Shape.DataCentres)]
-	return fmt.Sprintf(`[instance]
-name = i%d
-dataCentre = %s
-callers = 127.0.0.1:0
-control = 127.0.0.1:0
-[store]
-tableEndpoint = http://%s
-objectEndpoint = %s
-listURL = http://%s/instances
-[secrets]
-tokenKey = %s
-adminKey = %s
-storeAccessKey = trial
-storeSecretKey = trial
-`, n+1, dc, f.Platform.Addr(), f.Platform.Addr(), f.Platform.Addr(), trialKey, trialKey)
-}
-
-// configText writes the fleet's configuration.
-func (f *Fleet) configText() (string, error) {
-	verifier, err := bbrconfig.NewVerifier(trialPassword, []byte("a salt of trials"))
-	if err != nil {
-		return "", err
-	}
-	var b strings.Builder
-	s := &f.Shape
-	fmt.Fprintf(&b, "name = %s\n", s.Name)
-	fmt.Fprintf(&b, "[readPolicy view]\nmaxAge = %v\ncatchUpWait = %v\n", s.MaxAge, s.CatchUpWait)
-	fmt.Fprintf(&b, "[class order]\npriority = 2\ntables = payments, orders, bookings\n")
-	fmt.Fprintf(&b, "[class view]\npriority = 6\n")
-	fmt.Fprintf(&b, "[tenant staff]\nweight = 2\npatience = %v\n[tenant public]\npatience = %v\n", s.Patience, s.Patience)
-	names := make([]string, len(s.Groups))
-	for i, g := range s.Groups {
-		names[i] = string(g)
-		fmt.Fprintf(&b, "[group %s]\nconnections = %d\nslots = %d\nconfirm = %d\n", g, s.Connections, s.Slots, s.Confirm)
-		fmt.Fprintf(&b, "promoteSQL = SELECT standin_promote({term})\nfollowSQL = \"SELECT standin_follow('{host}', {port}, {term})\"\n")
-		fmt.Fprintf(&b, "[route %s]\ngroup = %s\nreadPolicy = view\n", g, g)
-		for n := range s.Members {
-			m := f.Members[g][bbrtype.MemberName(fmt.Sprintf("m%d", n+1))]
-			fmt.Fprintf(&b, "[member %s/%s]\naddress = %s\ndataCentre = %s\n", g, m.Name, m.Addr, s.DataCentres[n%len(s.DataCentres)])
-		}
-	}
-	for _, caller := range []string{"staff", "public"} {
-		fmt.Fprintf(&b, "[caller %s]\ntenant = %s\nclass = view\nverifier = %s\nroutes = %s\n", caller, caller, verifier, strings.Join(names, ", "))
-	}
-	return b.String(), nil
-}
-
 // Apply puts a configuration in force by way of the first running instance.
 func (f *Fleet) Apply(ctx context.Context, text string) error {
 	cfg, problems := bbrconfig.Parse("trial", []byte(text))
@@ -353,9 +235,43 @@
 	return nil
 }
 
-// URL returns the address at which callers reach a group by an instance.
+// URL implements System.
 func (f *Fleet) URL(n int, caller string, g bbrtype.GroupName) string {
-	return fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable", caller, trialPassword, f.Kernels[n].CallerAddress(), g)
+	return callerURL(f.Kernels[n].CallerAddress(), caller, g)
+}
+
+// Groups implements System.
+func (f *Fleet) Groups() []bbrtype.GroupName { return f.Shape.Groups }
+
+// Instances implements System.
+func (f *Fleet) Instances() int { return len(f.Kernels) }
+
+// SurvivingLog implements System.
+func (f *Fleet) SurvivingLog(g bbrtype.GroupName) ([]bbrstandindb.LogEntry, error) {
+	return f.Primary(g).DB.Log(), nil
+}
+
+// Reads implements System.
+func (f *Fleet) Reads() (primary, replica int64) {
+	for _, g := range f.Members {
+		for _, m := range g {
+			p, r := m.DB.Reads()
+			primary += p
+			replica += r
+		}
+	}
+	return primary, replica
+}
+
+// PeakConnections implements System.
+func (f *Fleet) PeakConnections() int {
+	peak := 0
+	for _, g := range f.Members {
+		for _, m := range g {
+			peak = max(peak, m.Server.PeakConnections())
+		}
+	}
+	return peak
 }
 
 // Close ends everything.
--- a/bbrtrial/judge.go
+++ b/bbrtrial/judge.go
@@ -5,6 +5,8 @@
 	"sort"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/bluebellroute/bluebellroute/bbroutcome"
 	"github.com/bluebellroute/bluebellroute/bbrtype"
 )
@@ -44,14 +46,17 @@
 
 // Judge compares what callers were told with the surviving history: the log of
 // each group's present primary.
-func (w *Workload) Judge() *Result {
+func (w *Workload) Judge() (*Result, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	r := &Result{
 		Statements: w.statements.Load(), StaleReads: w.stale.Load(), LostPositionsTold: w.lostTokens.Load(),
 		Failures: w.failures, LatencyUs: map[string]int64{}, Examples: w.examples,
 	}
-	runs := w.f.runs()
+	runs, err := w.runs()
+	if err != nil {
+		return nil, err
+	}
 	for _, a := range w.attempts {
 		n := runs[a.group][a.id]
 		switch {
@@ -72,8 +77,8 @@
 			r.example("write %d ran %d times", a.id, n)
 		}
 	}
-	r.ReplicaReadShare = w.f.ReplicaShare()
-	r.PeakConnections = w.f.PeakConnections()
+	r.ReplicaReadShare = replicaShare(w.s.Reads())
+	r.PeakConnections = w.s.PeakConnections()
 	for op, h := range w.latency {
 		if h.TotalCount() == 0 {
 			continue
@@ -82,60 +87,77 @@
 			r.LatencyUs[fmt.Sprintf("%s.p%v", op, q)] = h.ValueAtQuantile(q)
 		}
 	}
-	return r
+	return r, nil
 }
 
 // runs counts how often each write is in the surviving history of its group.
-func (f *Fleet) runs() map[bbrtype.GroupName]map[int64]int {
+func (w *Workload) runs() (map[bbrtype.GroupName]map[int64]int, error) {
 	out := map[bbrtype.GroupName]map[int64]int{}
-	for _, g := range f.Shape.Groups {
+	for _, g := range w.s.Groups() {
 		out[g] = map[int64]int{}
-		for _, e := range f.Primary(g).DB.Log() {
+		log, err := w.s.SurvivingLog(g)
+		if err != nil {
+			return nil, errors.Wrapf(err, "read the log of %s", g)
+		}
+		for _, e := range log {
 			for _, c := range e.Changes {
 				if c.Table != "payments" || len(c.Values) == 0 {
 					continue
 				}
-				if id, ok := c.Values[0].(int64); ok {
+				switch id := c.Values[0].(type) {
+				case int64:
 					out[g][id]++
+				case float64:
+					out[g][int64(id)]++
 				}
 			}
 		}
 	}
-	return out
+	return out, nil
 }
 
-// ReplicaShare returns the part of reads that replicas have served so far, as
-// the members counted them.
-func (f *Fleet) ReplicaShare() float64 {
-	primary, replica := f.Reads()
+// replicaShare returns the part of reads that replicas have served.
+func replicaShare(primary, replica int64) float64 {
 	if primary+replica == 0 {
 		return 0
 	}
 	return float64(replica) / float64(primary+replica)
 }
 
-// Reads returns how many reads the members have served as primaries and as
-// replicas.
-func (f *Fleet) Reads() (primary, replica int64) {
-	for _, g := range f.Members {
-		for _, m := range g {
-			p, r := m.DB.Reads()
-			primary += p
-			replica += r
-		}
+// ResetLatency forgets the latencies so far.
+func (w *Workload) ResetLatency() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, h := range w.latency {
+		h.Reset()
 	}
-	return primary, replica
 }
 
-// PeakConnections returns the highest number of connections to any member.
-func (f *Fleet) PeakConnections() int {
-	peak := 0
-	for _, g := range f.Members {
-		for _, m := range g {
-			peak = max(peak, m.Server.PeakConnections())
+// Quantile returns a quantile of an operation's latency, in microseconds.
+func (w *Workload) Quantile(op Operation, q float64) int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.latency[op].ValueAtQuantile(q)
+}
+
+// timelineStep is the length of a part of the timeline.
+const timelineStep = 100 * time.Millisecond
+
+// Timeline counts the acknowledged writes of each group by tenths of a second.
+func (w *Workload) Timeline(from time.Time, d time.Duration) map[bbrtype.GroupName][]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := map[bbrtype.GroupName][]int{}
+	for _, g := range w.s.Groups() {
+		out[g] = make([]int, d/timelineStep)
+	}
+	for _, a := range w.attempts {
+		i := int(a.ackedAt.Sub(from) / timelineStep)
+		if a.outcome == bbroutcome.Done && i >= 0 && i < len(out[a.group]) {
+			out[a.group][i]++
 		}
 	}
-	return peak
+	return out
 }
 
 // Gap returns the longest time, at or after a moment, in which no write of a
--- a/bbrtrial/workload.go
+++ b/bbrtrial/workload.go
@@ -74,7 +74,7 @@
 
 // Workload runs callers against a fleet and remembers what they were told.
 type Workload struct {
-	f    *Fleet
+	s    System
 	load Load
 
 	nextID     atomic.Int64
@@ -90,8 +90,8 @@
 }
 
 // NewWorkload prepares a workload. Its table is made by Prepare.
-func NewWorkload(f *Fleet, load Load) *Workload {
-	w := &Workload{f: f, load: load, latency: map[Operation]*hdrhistogram.Histogram{}, failures: map[string]int{}}
+func NewWorkload(s System, load Load) *Workload {
+	w := &Workload{s: s, load: load, latency: map[Operation]*hdrhistogram.Histogram{}, failures: map[string]int{}}
 	for _, op := range []Operation{OperationWrite, OperationOwn, OperationView} {
 		w.latency[op] = hdrhistogram.New(histogramLow, histogramHigh, histogramDigits)
 	}
@@ -102,8 +102,8 @@
 // Prepare makes the workload's table in every group. It has no key, so that a
 // write that runs twice shows.
 func (w *Workload) Prepare(ctx context.Context) error {
-	for _, g := range w.f.Shape.Groups {
-		conn, err := pgx.Connect(ctx, w.f.URL(0, "staff", g))
+	for _, g := range w.s.Groups() {
+		conn, err := pgx.Connect(ctx, w.s.URL(0, "staff", g))
 		if err != nil {
 			return errors.Wrap(err, "connect to prepare the workload")
 		}
@@ -147,7 +147,7 @@
 }
 
 func (c *caller) run(ctx context.Context) {
-	groups := c.w.f.Shape.Groups
+	groups := c.w.s.Groups()
 	c.group = groups[int(c.id)%len(groups)]
 	c.instance = c.pickInstance()
 	defer c.close()
@@ -172,7 +172,7 @@
 	if only := c.w.load.Instances; len(only) > 0 {
 		return only[c.r.IntN(len(only))]
 	}
-	return c.r.IntN(len(c.w.f.Kernels))
+	return c.r.IntN(c.w.s.Instances())
 }
 
 func (c *caller) close() {
@@ -244,7 +244,7 @@
 }
 
 func (c *caller) dial(ctx context.Context, name string) (*pgx.Conn, error) {
-	cfg, err := pgx.ParseConfig(c.w.f.URL(c.instance, name, c.group))
+	cfg, err := pgx.ParseConfig(c.w.s.URL(c.instance, name, c.group))
 	if err != nil {
 		return nil, err
 	}
