Find silent connections and cut-off primaries sooner

A change waited 600 ms for the state of the very primary that it replaces. Instances without traffic began to count a member's silence only when their first probe had failed. Each waiting statement opened a connection of its own to look, waited its patience twice, and the next one was probed for 500 ms before it was found silent too. The member went on counting the silent connections against its limit, so that new ones were refused.

Change: a lost primary is not waited for; silence counts from the moment that the member was asked; a change of primary wakes the statements that wait for the old one. Statements share one look at the member's connections, look again after 200 ms, close idle neighbours and ask the member to end the silent connections. Two more connections of each member are set aside for such orders: a full member could not have been promoted either.

Ruled out: a shorter limit for silence (it would replace a primary that pauses for a second).

--- a/bbrbench/run.go
+++ b/bbrbench/run.go
@@ -46,7 +46,10 @@
 type Report struct {
 	Request Request          `json:"request"`
 	Machine Machine          `json:"machine"`
-	Result  *bbrtrial.Result `json:"result"`
+	// StolenPercent is the part of the processor time that the machine's host
+	// gave to others during the run.
+	StolenPercent float64          `json:"stolenPercent"`
+	Result        *bbrtrial.Result `json:"result"`
 	// GapsMs are the longest times without an acknowledged write after each
 	// fault, in milliseconds.
 	GapsMs []int64 `json:"gapsMs,omitempty"`
@@ -124,6 +127,7 @@
 	}
 	r.workload.ResetLatency()
 	primary, replica := r.fleet.Reads()
+	before := readProcessorTime()
 	measured := time.Now()
 	if e.Disturb != nil {
 		if err := e.Disturb(ctx, r); err != nil {
@@ -136,6 +140,7 @@
 	if err := group.Wait(); err != nil {
 		return nil, err
 	}
+	stolen := readProcessorTime().stolenSince(before)
 	primaryAfter, replicaAfter := r.fleet.Reads()
 	time.Sleep(settle)
 	result, err := r.workload.Judge()
@@ -146,7 +151,7 @@
 		result.ReplicaReadShare = float64(q) / float64(p+q)
 	}
 	return &Report{
-		Request: r.request, Machine: thisMachine(), Result: result, GapsMs: r.gaps, SpreadMs: r.spread, Extra: r.extra,
+		Request: r.request, Machine: thisMachine(), StolenPercent: stolen, Result: result, GapsMs: r.gaps, SpreadMs: r.spread, Extra: r.extra,
 		Timeline: r.workload.Timeline(measured, r.request.Duration),
 	}, nil
 }
--- a/bbrconfig/check.go
+++ b/bbrconfig/check.go
@@ -9,9 +9,10 @@
 	"github.com/bluebellroute/bluebellroute/bbrtype"
 )
 
-// reservedConnections are the connections of each member that are kept for
-// probes and for finding out the fate of requests.
-const reservedConnections = 3
+// ReservedConnections are the connections of each member that callers do not
+// get: three for probes, and two for orders to the member and for closing
+// connections that went silent, so that a full member can still be promoted.
+const ReservedConnections = 5
 
 // check looks at the whole set: references, limits and what can't be met.
 func (p *parser) check() {
@@ -47,9 +48,9 @@
 	}
 	p.checkConfirm(section, "confirm", g.Confirm, g)
 	p.checkConfirm(section, "confirmKeyed", g.ConfirmKeyed, g)
-	if g.Connections <= reservedConnections {
-		p.add(section, "connections", fmt.Sprintf("%d connections leave none to callers: %d are kept for probes", g.Connections, reservedConnections),
-			fmt.Sprintf("at least %d", reservedConnections+1))
+	if g.Connections <= ReservedConnections {
+		p.add(section, "connections", fmt.Sprintf("%d connections leave none to callers: %d are kept for probes", g.Connections, ReservedConnections),
+			fmt.Sprintf("at least %d", ReservedConnections+1))
 	}
 	if g.Slots > g.Connections {
 		p.add(section, "slots", fmt.Sprintf("%d statements at once need as many connections; the limit is %d", g.Slots, g.Connections),
--- a/bbrcontrol/event.go
+++ b/bbrcontrol/event.go
@@ -70,6 +70,8 @@
 	Ref    bbrmember.Ref
 	Kind   bbrmember.FailureKind
 	Probed bool
+	// SentAt is when the member was asked, 0 if unknown.
+	SentAt bbrtype.Mono
 }
 
 // PromoteDone is the result of a Promote action.
--- a/bbrcontrol/member.go
+++ b/bbrcontrol/member.go
@@ -140,7 +140,7 @@
 	if e.Probed {
 		m.probing = false
 	}
-	m.health.Bad(now, e.Kind)
+	m.health.Bad(now, e.SentAt, e.Kind)
 	if e.Probed && e.Kind == bbrmember.FailureRefused {
 		c.stepChange(now, e.Ref.Group, bbrfailover.MemberUnreadable{Member: e.Ref.Member})
 	}
--- a/bbrfailover/change.go
+++ b/bbrfailover/change.go
@@ -208,7 +208,7 @@
 func (c *Change) read(now bbrtype.Mono, s Situation) []Action {
 	s.States = c.states
 	s.Waited = now.Sub(c.drainedAt)
-	s.Complete = len(c.states)+len(c.unreadable) >= len(s.Group.Members) || now.Sub(c.since) >= c.opts.ReadTimeout
+	s.Complete = c.hasAll(s) || now.Sub(c.since) >= c.opts.ReadTimeout
 	choice := Choose(s)
 	switch choice.Decision {
 	case DecisionAdopt:
@@ -226,6 +226,19 @@
 	return nil
 }
 
+// hasAll reports whether every member has answered that can be expected to. A
+// primary that counts as lost is not waited for.
+func (c *Change) hasAll(s Situation) bool {
+	last, _ := s.Group.Last()
+	for _, m := range s.Group.Members {
+		_, read := c.states[m]
+		if !read && !c.unreadable[m] && (m != last.Member || s.OldAnswers) {
+			return false
+		}
+	}
+	return true
+}
+
 func (c *Change) promoted(now bbrtype.Mono, e Promoted) []Action {
 	if c.phase != PhasePromoting || e.Member != c.choice.Member {
 		return nil
--- a/bbrinstance/instance.go
+++ b/bbrinstance/instance.go
@@ -310,9 +310,28 @@
 func (i *Instance) applied(a bbrcontrol.Applied) {
 	i.bodies.wake()
 	i.quota.wake()
+	for _, e := range a.Entries {
+		if named, ok := e.(bbrjournal.PrimaryNamed); ok {
+			i.interruptReplaced(named)
+		}
+	}
 	i.deps.Log.WithFields(logrus.Fields{"index": a.Record.Index, "entries": len(a.Entries)}).Debug("record applied")
 }
 
+// interruptReplaced wakes the statements that wait for a member which is not
+// the primary any more.
+func (i *Instance) interruptReplaced(named bbrjournal.PrimaryNamed) {
+	g, ok := i.deps.Registry.Group(named.Group)
+	jg := i.View().Group(named.Group)
+	if !ok || jg == nil || len(jg.Lineage) < 2 {
+		return
+	}
+	old := jg.Lineage[len(jg.Lineage)-2].Member
+	if p := g.Pool(old); p != nil && old != named.Member {
+		p.Interrupt()
+	}
+}
+
 // carryOut runs one action that waits for something.
 func (i *Instance) carryOut(a bbrcontrol.Action) {
 	switch a := a.(type) {
--- a/bbrinstance/member.go
+++ b/bbrinstance/member.go
@@ -81,7 +81,7 @@
 	case errors.Is(err, errNoEndpoint):
 		p.i.step(bbrcontrol.MemberFailed{Ref: a.Ref, Kind: bbrmember.FailureNone, Probed: true})
 	default:
-		p.i.step(bbrcontrol.MemberFailed{Ref: a.Ref, Kind: bbrpool.FailureKind(err), Probed: true})
+		p.i.step(bbrcontrol.MemberFailed{Ref: a.Ref, Kind: bbrpool.FailureKind(err), Probed: true, SentAt: sentAt})
 	}
 }
 
@@ -97,12 +97,19 @@
 	}
 	sql := g.Config().StateSQL
 	if c := p.take(ref); c != nil {
-		rows, err := c.Query(ctx, sql)
+		// The kept connection may have gone silent: a new one gets its time.
+		deadline, _ := ctx.Deadline()
+		half, cancel := context.WithTimeout(ctx, time.Until(deadline)/2)
+		rows, err := c.Query(half, sql)
+		cancel()
 		if err == nil {
 			p.keep(ref, c)
 			return bbrgroup.ParseState(rows)
 		}
 		c.Close()
+		if pool := g.Pool(ref.Member); pool != nil && bbrpool.FailureKind(err) == bbrmember.FailureSilent {
+			pool.Reap(c.PID)
+		}
 	}
 	c, err := p.i.dial(ctx, ref)
 	if err != nil {
--- a/bbrinstance/quota.go
+++ b/bbrinstance/quota.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bluebellroute/bluebellroute/bbrconfig"
 	"github.com/bluebellroute/bluebellroute/bbrgroup"
 	"github.com/bluebellroute/bluebellroute/bbrjournal"
 	"github.com/bluebellroute/bluebellroute/bbrmember"
@@ -19,12 +20,8 @@
 	"github.com/bluebellroute/bluebellroute/bbrtype"
 )
 
-const (
-	// quotaTick is the pause between two looks at the pools' demand.
-	quotaTick = 100 * time.Millisecond
-	// reservedConnections are kept of each member for probes and orders.
-	reservedConnections = 3
-)
+// quotaTick is the pause between two looks at the pools' demand.
+const quotaTick = 100 * time.Millisecond
 
 // quota asks the granters for connections, and is the granter of some members.
 type quota struct {
@@ -239,7 +236,7 @@
 	for name, g := range v.Config.Groups {
 		for member := range g.Members {
 			ref := bbrmember.Ref{Group: name, Member: member}
-			limit := g.Connections - reservedConnections
+			limit := g.Connections - bbrconfig.ReservedConnections
 			if cur := q.granters[ref]; cur != nil {
 				cur.SetLimit(limit)
 				continue
--- a/bbrmember/member.go
+++ b/bbrmember/member.go
@@ -5,7 +5,7 @@
 //
 //	var h bbrmember.Health
 //	h.Good(now)
-//	h.Bad(later, bbrmember.FailureSilent)
+//	h.Bad(later, sentAt, bbrmember.FailureSilent)
 //	if h.IsFailing(later, limits) {
 //		// the member has not answered for too long
 //	}
@@ -78,10 +78,14 @@
 	}
 }
 
-// Bad notes a failure.
-func (h *Health) Bad(now bbrtype.Mono, kind FailureKind) {
+// Bad notes a failure to answer a request that was sent at sentAt, 0 if
+// unknown.
+func (h *Health) Bad(now, sentAt bbrtype.Mono, kind FailureKind) {
 	if h.Since == 0 {
 		h.Since = now
+		if sentAt != 0 {
+			h.Since = sentAt
+		}
 	}
 	if now < h.LastGood {
 		return
--- a/bbrpool/conn.go
+++ b/bbrpool/conn.go
@@ -157,6 +157,9 @@
 	return row
 }
 
+// interrupt makes a read that waits return an error for which IsTimeout holds.
+func (c *Conn) interrupt() { _ = c.net.SetReadDeadline(time.Unix(1, 0)) }
+
 // Close ends the connection.
 func (c *Conn) Close() { _ = c.net.Close() }
 
--- a/bbrpool/pool.go
+++ b/bbrpool/pool.go
@@ -94,6 +94,7 @@
 	queue    bbradmit.Queue
 	limiter  bbradmit.Limiter
 	idle     []*Conn
+	busy     map[*Conn]bool
 	open     int
 	dialing  int
 	granted  int
@@ -105,11 +106,13 @@
 	peakAt   bbrtype.Mono
 	closed   bool
 	waitings map[*bbradmit.Waiter]chan grantedConn
+
+	activity activityWatch
 }
 
 // New returns a pool that may open nothing until Grant is called.
 func New(opts Options) *Pool {
-	p := &Pool{opts: opts, backoff: backoff.NewExponentialBackOff(), waitings: map[*bbradmit.Waiter]chan grantedConn{}}
+	p := &Pool{opts: opts, backoff: backoff.NewExponentialBackOff(), waitings: map[*bbradmit.Waiter]chan grantedConn{}, busy: map[*Conn]bool{}}
 	p.backoff.InitialInterval = 50 * time.Millisecond
 	p.backoff.MaxInterval = time.Second
 	p.limiter.SetMax(opts.Slots)
@@ -243,6 +246,7 @@
 func (p *Pool) takeIdle() *Conn {
 	c := p.idle[len(p.idle)-1]
 	p.idle = p.idle[:len(p.idle)-1]
+	p.busy[c] = true
 	p.limiter.Start()
 	return c
 }
@@ -333,12 +337,32 @@
 	return true
 }
 
-// Suspect makes every connection be probed before its next use, because one of
-// them was found silent.
+// Suspect closes the idle connections, because one that is in use was found
+// silent: whatever lost track of it has probably lost track of them. Those in
+// use are probed before they are used again.
 func (p *Pool) Suspect() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.suspect = p.opts.Clock.Now()
+	var pids []uint32
+	for _, c := range p.idle {
+		c.Close()
+		p.open--
+		pids = append(pids, c.PID)
+	}
+	p.idle = p.idle[:0]
+	p.Reap(pids...)
+	p.serve()
+}
+
+// Interrupt ends the patience of all that wait for the member at this moment,
+// so that they look again whether their connection is of use.
+func (p *Pool) Interrupt() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.busy {
+		c.interrupt()
+	}
 }
 
 // Release gives a connection back after a statement that took the given time.
@@ -347,6 +371,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.limiter.End(took)
+	delete(p.busy, c)
 	now := p.opts.Clock.Now()
 	if c.tainted || p.closed || p.open+p.dialing > p.allowed(now) {
 		c.Close()
--- a/bbrproxy/pump.go
+++ b/bbrproxy/pump.go
@@ -159,13 +159,14 @@
 		if !bbrpool.IsTimeout(err) {
 			return nil, err
 		}
+		patience := p.c.srv.opts.AnswerPatience
 		if !p.progress {
-			if err := p.watch.check(); err != nil {
+			if patience, err = p.watch.check(); err != nil {
 				return nil, err
 			}
 		}
 		p.progress = false
-		if err := p.conn.Arm(p.c.srv.opts.AnswerPatience); err != nil {
+		if err := p.conn.Arm(patience); err != nil {
 			return nil, err
 		}
 	}
--- a/bbrproxy/serve.go
+++ b/bbrproxy/serve.go
@@ -256,6 +256,10 @@
 		c: c, conn: conn, held: -1, base: len(c.out),
 		watch: silentWatch{c: c, group: g, pool: pool, conn: conn, member: m},
 	}
+	if jg := c.srv.deps.Registry.View().Group(g.Name); jg != nil {
+		l, _ := jg.Last()
+		c.work.pump.watch.wasPrimary = l.Member == m
+	}
 	return &c.work.pump
 }
 
--- a/bbrproxy/server.go
+++ b/bbrproxy/server.go
@@ -36,7 +36,7 @@
 	DefaultMaxMessage      = 16 << 20
 	DefaultMaxCallers      = 10000
 	DefaultAuthTimeout     = 10 * time.Second
-	DefaultAnswerPatience  = 3 * time.Second
+	DefaultAnswerPatience  = 2 * time.Second
 	DefaultResolvePatience = 10 * time.Second
 	DefaultStatementCache  = 10000
 )
--- a/bbrproxy/silent.go
+++ b/bbrproxy/silent.go
@@ -2,8 +2,7 @@
 
 import (
 	"context"
-	"strconv"
-	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -19,8 +18,16 @@
 // statement, so that an answer on its way is not taken for a silence.
 const silentChecks = 2
 
-// activitySQL asks a member what a connection does.
-const activitySQL = "SELECT state FROM pg_stat_activity WHERE pid = "
+// errReplaced tells that the statement's member is not the primary any more.
+var errReplaced = errors.New("the member was replaced as the primary")
+
+const (
+	// answerOnItsWay is the wait before a second look at a connection whose
+	// statement the member does not run.
+	answerOnItsWay = 200 * time.Millisecond
+	// maxSlowPause bounds the wait between two looks at a slow statement.
+	maxSlowPause = time.Minute
+)
 
 // silentWatch decides, when a statement's connection has been silent for the
 // patience, whether the member is slow or the connection is dead.
@@ -30,41 +37,57 @@
 	pool   *bbrpool.Pool
 	conn   *bbrpool.Conn
 	member bbrtype.MemberName
+	// wasPrimary is set if the member was the primary when the statement was
+	// sent.
+	wasPrimary bool
+	slow       time.Duration
 	// idle counts how often the member said that it does not run the
 	// statement.
 	idle int
 }
 
-// check asks the member over a new connection. It returns an error if the
-// connection is dead.
-func (w *silentWatch) check() error {
+// check decides about the connection. It returns an error if the connection is
+// of no use any more. Otherwise it returns how long to wait before the next
+// look: shortly, where an answer may be on its way.
+func (w *silentWatch) check() (time.Duration, error) {
 	c := w.c
-	dialer := &bbrpool.Dialer{Clock: c.srv.deps.Clock}
+	if w.isReplaced() {
+		return 0, errReplaced
+	}
 	ctx, cancel := context.WithTimeout(c.srv.ctx, c.srv.opts.AnswerPatience)
 	defer cancel()
-	probe, err := dialer.Dial(ctx, w.pool.Endpoint())
+	active, err := w.pool.IsActive(ctx, w.conn)
 	var refused *bbrpool.MemberError
-	if errors.As(err, &refused) {
+	switch {
+	case errors.As(err, &refused):
 		// The member lives and has no room for a look.
-		return nil
-	}
-	if err != nil {
-		return errors.Wrap(err, "the member is silent")
-	}
-	defer probe.Close()
-	rows, err := probe.Query(ctx, activitySQL+strconv.FormatUint(uint64(w.conn.PID), 10))
-	if err != nil {
-		return nil
-	}
-	if len(rows) == 1 && strings.HasPrefix(rows[0][0], "active") {
+		return c.srv.opts.AnswerPatience, nil
+	case err != nil:
+		return 0, errors.Wrap(err, "the member is silent")
+	case active:
+		// A slow statement is looked at less and less often.
 		w.idle = 0
-		return nil
+		w.slow = min(max(2*w.slow, c.srv.opts.AnswerPatience), maxSlowPause)
+		return w.slow, nil
 	}
 	if w.idle++; w.idle < silentChecks {
-		return nil
+		return answerOnItsWay, nil
 	}
 	w.pool.Suspect()
+	w.pool.Interrupt()
+	w.pool.Reap(w.conn.PID)
 	c.srv.deps.Metrics.Silent(w.group.Name, w.member)
 	c.log().WithField("member", w.member).Warn("silent connection closed")
-	return errSilent
+	return 0, errSilent
+}
+
+// isReplaced reports whether the member was the primary when the statement was
+// sent and another one is now.
+func (w *silentWatch) isReplaced() bool {
+	g := w.c.srv.deps.Registry.View().Group(w.group.Name)
+	if g == nil {
+		return false
+	}
+	l, ok := g.Last()
+	return ok && w.wasPrimary && l.Member != w.member
 }
--- a/bbrstandindb/database.go
+++ b/bbrstandindb/database.go
@@ -93,6 +93,8 @@
 	grown chan struct{}
 	// rewound is called, without the lock, after a tail was discarded.
 	rewound func()
+	// terminate ends a connection.
+	terminate func(pid uint32) bool
 	// activity returns what each connection does.
 	activity func() map[uint32]string
 	// refollow receives the address of a new primary.
@@ -122,15 +124,16 @@
 // New returns a member with an empty database.
 func New(opts Options) *Database {
 	d := &Database{
-		opts:     opts,
-		tables:   map[string]*table{},
-		lineage:  []Fork{{History: 1}},
-		primary:  opts.Primary,
-		lag:      opts.Lag,
-		grown:    make(chan struct{}),
-		refollow: make(chan string, 16),
-		rewound:  func() {},
-		activity: func() map[uint32]string { return nil },
+		opts:      opts,
+		tables:    map[string]*table{},
+		lineage:   []Fork{{History: 1}},
+		primary:   opts.Primary,
+		lag:       opts.Lag,
+		grown:     make(chan struct{}),
+		refollow:  make(chan string, 16),
+		rewound:   func() {},
+		terminate: func(uint32) bool { return false },
+		activity:  func() map[uint32]string { return nil },
 	}
 	if d.opts.MaxConnections == 0 {
 		d.opts.MaxConnections = 100
--- a/bbrstandindb/eval.go
+++ b/bbrstandindb/eval.go
@@ -272,6 +272,12 @@
 		return bbrtype.Position(st.Position).String(), nil
 	case "pg_last_wal_receive_lsn":
 		return bbrtype.Position(st.Received).String(), nil
+	case "pg_terminate_backend":
+		pid, err := wholeNumber(args, 0)
+		if err != nil {
+			return nil, err
+		}
+		return s.db.terminate(uint32(pid)), nil
 	case "pg_promote":
 		_, err := s.db.Promote(0)
 		return err == nil, err
--- a/bbrstandindb/execute.go
+++ b/bbrstandindb/execute.go
@@ -299,7 +299,7 @@
 			if args := x.FuncCall.GetArgs(); len(args) > 0 {
 				return resultType(w, args[0])
 			}
-		case "pg_is_in_recovery", "pg_promote", "standin_promote", "standin_follow":
+		case "pg_is_in_recovery", "pg_promote", "pg_terminate_backend", "standin_promote", "standin_follow":
 			return oidBool
 		}
 		return oidText
--- a/bbrstandindb/server.go
+++ b/bbrstandindb/server.go
@@ -42,6 +42,7 @@
 	s := &Server{db: db, listener: l, group: group, cancel: cancel, sessions: map[uint32]*session{}}
 	db.rewound = s.dropClients
 	db.activity = s.activity
+	db.terminate = s.terminate
 	group.Go(func() error { return s.accept() })
 	group.Go(func() error { return follow(ctx, db) })
 	group.Go(func() error { return replayAll(ctx, db) })
@@ -69,6 +70,18 @@
 	_ = s.group.Wait()
 }
 
+// terminate ends a connection.
+func (s *Server) terminate(pid uint32) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.sessions[pid]
+	if c == nil {
+		return false
+	}
+	_ = c.conn.Close()
+	return true
+}
+
 // activity returns what each connection does: active or idle.
 func (s *Server) activity() map[uint32]string {
 	s.mu.Lock()
