Format two files of the experiment tool

Two files of bbrbench were last changed by an editor that did not run gofumpt.

Change: gofumpt over both; no other difference.

--- a/bbrbench/run.go
+++ b/bbrbench/run.go
@@ -44,8 +44,8 @@
 
 // Report is the result of a run.
 type Report struct {
-	Request Request          `json:"request"`
-	Machine Machine          `json:"machine"`
+	Request Request `json:"request"`
+	Machine Machine `json:"machine"`
 	// StolenPercent is the part of the processor time that the machine's host
 	// gave to others during the run.
 	StolenPercent float64          `json:"stolenPercent"`
--- a/bbrbench/table.go
+++ b/bbrbench/table.go
@@ -11,7 +11,7 @@
 // numbers returns what is compared of a report, by name.
 func (r *Report) numbers() map[string]float64 {
 	out := map[string]float64{
-		"stolenPercent": r.StolenPercent,
+		"stolenPercent":   r.StolenPercent,
 		"replicaShare":    100 * r.Result.ReplicaReadShare,
 		"statements":      float64(r.Result.Statements),
 		"acknowledged":    float64(r.Result.AcknowledgedWrites),
