Measure what control costs, and write the documents

Cause: nothing told what a node spends on control, and there were no documents: neither a page on capacity nor anything that operators or callers can follow.

Change: connections for control count their bytes by what they lead to. bbrbench capacity measures idle fleets of real processes over a grid of instances and databases, and with callers, statements and configurations; it fits slopes and predicts the planned size. Architecture, glossary, design notes, pages for operators and callers; the references of settings and configuration are made from the code, and tests keep them, the SQLSTATEs, the alerts and the dashboard in step. A status cause that nothing ever gave is gone.

Ruled out: counting bytes at the listener (operators and monitoring use the same port); what one instance asks another one answers, so calls count twice.

--- a/bbrbench/command.go
+++ b/bbrbench/command.go
@@ -24,7 +24,7 @@
 		Name:  "bbrbench",
 		Usage: "run experiments with fleets of real processes on this machine",
 		Commands: append([]*cli.Command{
-			runCommand(programs), compareCommand(), plotCommand(), listCommand(), throughputCommand(programs),
+			runCommand(programs), compareCommand(), plotCommand(), listCommand(), throughputCommand(programs), capacityCommand(programs),
 		}, hidden...),
 	}
 }
--- a/bbrcommand/command.go
+++ b/bbrcommand/command.go
@@ -77,7 +77,7 @@
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
 			serveCommand(), checkCommand(), applyCommand(), showCommand(), diffCommand(), historyCommand(),
-			rollbackCommand(), statusCommand(), verifierCommand(), operatorKeyCommand(), demoCommand(), fuzzCommand(), versionCommand(),
+			rollbackCommand(), statusCommand(), verifierCommand(), operatorKeyCommand(), demoCommand(), fuzzCommand(), referenceCommand(), versionCommand(),
 		},
 	}
 }
--- a/bbrconfig/parse.go
+++ b/bbrconfig/parse.go
@@ -27,10 +27,9 @@
 	seen map[string]bool
 }
 
-// Parse reads and checks a configuration. The configuration is to be used only
-// if there are no problems.
-func Parse(file string, text []byte) (*Config, []bbrini.Problem) {
-	p := &parser{
+// newParser returns a parser with an empty configuration.
+func newParser(file string) *parser {
+	return &parser{
 		file: file,
 		cfg: &Config{
 			Groups:       map[bbrtype.GroupName]*Group{},
@@ -44,6 +43,12 @@
 		},
 		seen: map[string]bool{},
 	}
+}
+
+// Parse reads and checks a configuration. The configuration is to be used only
+// if there are no problems.
+func Parse(file string, text []byte) (*Config, []bbrini.Problem) {
+	p := newParser(file)
 	f := bbrini.Load(file, text, &p.problems)
 	if f == nil {
 		return p.cfg, p.problems.List
--- a/bbrini/reader.go
+++ b/bbrini/reader.go
@@ -54,7 +54,11 @@
 }
 
 // Problems collects the errors of a file.
-type Problems struct{ List []Problem }
+type Problems struct {
+	List []Problem
+	// Keys collects the keys that are asked for, if it is not nil.
+	Keys *[]Key
+}
 
 // Add notes an error.
 func (p *Problems) Add(file, section, key, what, hint string) {
@@ -111,6 +115,7 @@
 
 // Text returns a key's value, or a default.
 func (r *Reader) Text(key, fallback string) string {
+	r.note(key, "text", fallback)
 	if v, ok := r.get(key); ok {
 		return v
 	}
@@ -119,6 +124,7 @@
 
 // Integer returns a whole number within bounds.
 func (r *Reader) Integer(key string, fallback, low, high int) int {
+	r.note(key, fmt.Sprintf("whole number from %d to %d", low, high), strconv.Itoa(fallback))
 	v, ok := r.get(key)
 	if !ok {
 		return fallback
@@ -133,6 +139,7 @@
 
 // Boolean returns true or false.
 func (r *Reader) Boolean(key string, fallback bool) bool {
+	r.note(key, "true or false", strconv.FormatBool(fallback))
 	v, ok := r.get(key)
 	if !ok {
 		return fallback
@@ -147,6 +154,7 @@
 
 // Duration returns a time with a unit, at most a day.
 func (r *Reader) Duration(key string, fallback time.Duration) time.Duration {
+	r.note(key, "duration", fallback.String())
 	v, ok := r.get(key)
 	if !ok {
 		return fallback
@@ -161,6 +169,7 @@
 
 // List returns the parts of a value between commas.
 func (r *Reader) List(key string) []string {
+	r.note(key, "names between commas", "")
 	v, _ := r.get(key)
 	var out []string
 	for _, part := range strings.Split(v, ",") {
@@ -173,6 +182,7 @@
 
 // Address returns an IP number with a port. Without a default it must be given.
 func (r *Reader) Address(key, fallback string) string {
+	r.note(key, "IP number and port", fallback)
 	v, ok := r.get(key)
 	if !ok && fallback == "" {
 		r.Problem(key, "the address is missing", "write it as 10.0.0.1:5432")
@@ -191,16 +201,19 @@
 
 // Choice reads one of some values.
 func Choice[T ~string](r *Reader, key string, fallback T, allowed ...T) T {
+	names := make([]string, len(allowed))
+	for i, a := range allowed {
+		names[i] = string(a)
+	}
+	r.note(key, "one of "+strings.Join(names, ", "), string(fallback))
 	v, ok := r.get(key)
 	if !ok {
 		return fallback
 	}
-	names := make([]string, len(allowed))
-	for i, a := range allowed {
+	for _, a := range allowed {
 		if T(v) == a {
 			return a
 		}
-		names[i] = string(a)
 	}
 	r.Problem(key, fmt.Sprintf("%q is not one of %s", v, strings.Join(names, ", ")), Suggest(v, names))
 	return fallback
--- a/bbrinstance/instance.go
+++ b/bbrinstance/instance.go
@@ -147,10 +147,12 @@
 	opts.Control.Nonce = randomText
 	ctx, cancel := context.WithCancel(context.Background())
 	i := &Instance{
-		deps:       deps,
-		opts:       opts,
-		self:       opts.Control.Self,
-		dialer:     &bbrpool.Dialer{Clock: deps.Clock},
+		deps: deps,
+		opts: opts,
+		self: opts.Control.Self,
+		dialer: &bbrpool.Dialer{Clock: deps.Clock, Count: func(dial bbrmetric.DialFunc) bbrmetric.DialFunc {
+			return deps.Metrics.CountDial(bbrmetric.LinkProbe, dial)
+		}},
 		ctx:        ctx,
 		cancel:     cancel,
 		control:    bbrcontrol.New(opts.Control),
--- a/bbrkernel/kernel.go
+++ b/bbrkernel/kernel.go
@@ -15,6 +15,7 @@
 	"crypto/tls"
 	"net"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
@@ -53,6 +54,9 @@
 	nameListeners = `name:"listeners"`
 )
 
+// storeDialTimeout bounds the making of a connection to the platform.
+const storeDialTimeout = 2 * time.Second
+
 // Kernel is one instance, put together.
 type Kernel struct {
 	app *fx.App
@@ -193,7 +197,9 @@
 	s *bbrsettings.Settings, log logrus.FieldLogger, clock *bbrtype.Clock, group *errgroup.Group, m *bbrmetric.Set,
 	r *bbrgroup.Registry, peers *bbrpeer.Clients, e *evidence, l *listeners,
 ) (*bbrinstance.Instance, error) {
-	objects, err := bbrstore.NewObjects(s.Store)
+	store := s.Store
+	store.Dial = m.CountDial(bbrmetric.LinkStore, (&net.Dialer{Timeout: storeDialTimeout}).DialContext)
+	objects, err := bbrstore.NewObjects(store)
 	if err != nil {
 		return nil, err
 	}
@@ -203,7 +209,7 @@
 		opts.Self.Address = l.control.Addr().String()
 	}
 	i := bbrinstance.New(bbrinstance.Deps{
-		Clock: clock, Journal: bbrstore.NewTable(s.Store), Bodies: objects, List: bbrstore.NewList(s.Store),
+		Clock: clock, Journal: bbrstore.NewTable(store), Bodies: objects, List: bbrstore.NewList(store),
 		Peers: peers, Registry: r, Metrics: m, Log: log.WithField("instance", s.Name), Group: group,
 	}, bbrinstance.Options{Control: opts, Seeds: s.Seeds, FixedQuota: s.FixedQuota})
 	e.target.Store(i)
--- a/bbrmetric/metric.go
+++ b/bbrmetric/metric.go
@@ -55,7 +55,7 @@
 	version    prometheus.Gauge
 	changes    *prometheus.HistogramVec
 	storeCalls *prometheus.HistogramVec
-	peerBytes  *prometheus.CounterVec
+	bytes      *prometheus.CounterVec
 }
 
 // New returns a set of metrics in a registry of its own.
@@ -88,10 +88,10 @@
 	s.version = gauge("configuration_version", "Version of the configuration in force.")
 	s.changes = histogram("change_of_primary_seconds", "Time from the fence to the named primary.", "group")
 	s.storeCalls = histogram("store_seconds", "Time of calls to the platform's store.", "call", "result")
-	s.peerBytes = counter("peer_bytes_total", "Bytes exchanged with other instances.", "direction")
+	s.bytes = counter("control_bytes_total", "Bytes on connections for control that this instance opened.", "link", "direction")
 	s.registry.MustRegister(
 		s.latency, s.queueing, s.outcomes, s.reads, s.retries, s.silent, s.callers, s.members, s.authority, s.index, s.version,
-		s.changes, s.storeCalls, s.peerBytes,
+		s.changes, s.storeCalls, s.bytes,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return s
@@ -195,9 +195,3 @@
 	}
 	s.storeCalls.WithLabelValues(call, result).Observe(took.Seconds())
 }
-
-// PeerBytes counts bytes exchanged with other instances.
-func (s *Set) PeerBytes(sent, received int) {
-	s.peerBytes.WithLabelValues("sent").Add(float64(sent))
-	s.peerBytes.WithLabelValues("received").Add(float64(received))
-}
--- a/bbrpeer/peer.go
+++ b/bbrpeer/peer.go
@@ -11,7 +11,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -126,13 +125,7 @@
 		TLSClientConfig:     cfg,
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     time.Minute,
-		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, addr)
-			if err != nil {
-				return nil, err
-			}
-			return &countedConn{Conn: conn, metrics: metrics}, nil
-		},
+		DialContext:         metrics.CountDial(bbrmetric.LinkPeer, dialer.DialContext),
 	}
 	scheme := "http://"
 	if cfg != nil {
@@ -193,23 +186,3 @@
 
 // Close closes the idle connections.
 func (c *Clients) Close() { c.http.CloseIdleConnections() }
-
-// countedConn counts the bytes of a connection to a peer.
-type countedConn struct {
-	net.Conn
-	metrics *bbrmetric.Set
-}
-
-var _ io.ReadWriteCloser = (*countedConn)(nil)
-
-func (c *countedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.metrics.PeerBytes(0, n)
-	return n, err
-}
-
-func (c *countedConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.metrics.PeerBytes(n, 0)
-	return n, err
-}
--- a/bbrpool/dial.go
+++ b/bbrpool/dial.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/bluebellroute/bluebellroute/bbrmetric"
 	"github.com/bluebellroute/bluebellroute/bbrtype"
 )
 
@@ -40,7 +41,11 @@
 }
 
 // Dialer makes connections to members.
-type Dialer struct{ Clock *bbrtype.Clock }
+type Dialer struct {
+	Clock *bbrtype.Clock
+	// Count wraps the function that opens connections. It may be nil.
+	Count func(bbrmetric.DialFunc) bbrmetric.DialFunc
+}
 
 // Dial connects and authenticates. A *MemberError tells that the member
 // answered and refused.
@@ -51,6 +56,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if d.Count != nil {
+		cfg.DialFunc = pgconn.DialFunc(d.Count(bbrmetric.DialFunc(cfg.DialFunc)))
+	}
 	pc, err := pgconn.ConnectConfig(ctx, cfg)
 	if err != nil {
 		var refused *pgconn.PgError
--- a/bbrsettings/settings.go
+++ b/bbrsettings/settings.go
@@ -13,6 +13,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -119,11 +120,8 @@
 	if f == nil {
 		return p.s, p.problems.List
 	}
-	sections := map[string]func(*bbrini.Reader){
-		"instance": p.instance, "store": p.store, "tls": p.tls, "limits": p.limits, "timing": p.timing, "log": p.log,
-	}
 	for _, s := range f.Sections() {
-		if _, ok := sections[s.Name()]; !ok && s.Name() != "secrets" && (s.Name() != ini.DefaultSection || len(s.Keys()) > 0) {
+		if !slices.Contains(sectionNames, s.Name()) && (s.Name() != ini.DefaultSection || len(s.Keys()) > 0) {
 			p.problems.Add(file, s.Name(), "", "unknown section", bbrini.Suggest(s.Name(), sectionNames))
 		}
 	}
@@ -138,12 +136,30 @@
 			p.secrets(r, s)
 			continue
 		}
-		sections[name](r)
+		p.read(name, r)
 		r.Finish()
 	}
 	return p.s, p.problems.List
 }
 
+// read takes the keys of a section.
+func (p *parser) read(section string, r *bbrini.Reader) {
+	switch section {
+	case "instance":
+		p.instance(r)
+	case "store":
+		p.store(r)
+	case "tls":
+		p.tls(r)
+	case "limits":
+		p.limits(r)
+	case "timing":
+		p.timing(r)
+	case "log":
+		p.log(r)
+	}
+}
+
 var sectionNames = []string{"instance", "store", "tls", "limits", "timing", "log", "secrets"}
 
 // parser collects settings and their problems.
--- a/bbrstatus/status.go
+++ b/bbrstatus/status.go
@@ -55,7 +55,6 @@
 	CauseChangeOfPrimary Cause = "changeOfPrimary"
 	CauseOverdue         Cause = "overdue"
 	CausePossibleLoss    Cause = "possibleLoss"
-	CauseNoConfiguration Cause = "noConfiguration"
 	CauseNoReplica       Cause = "noReplica"
 )
 
--- a/bbrstore/list.go
+++ b/bbrstore/list.go
@@ -6,10 +6,14 @@
 	"encoding/json"
 	"net/http"
 	"net/url"
+	"time"
 
 	"github.com/pkg/errors"
 )
 
+// listIdle is how long an idle connection to the list is kept.
+const listIdle = time.Minute
+
 // Listed is an instance on the platform's list. The list lags: it is a hint.
 type Listed struct {
 	Name    string `json:"name"`
@@ -24,7 +28,10 @@
 }
 
 // NewList returns a client of the list.
-func NewList(o Options) *List { return &List{url: o.ListURL, client: &http.Client{}} }
+func NewList(o Options) *List {
+	transport := &http.Transport{DialContext: o.Dial, IdleConnTimeout: listIdle}
+	return &List{url: o.ListURL, client: &http.Client{Transport: transport}}
+}
 
 // Instances returns the listed instances.
 func (l *List) Instances(ctx context.Context) ([]Listed, error) {
--- a/bbrstore/object.go
+++ b/bbrstore/object.go
@@ -27,12 +27,20 @@
 
 // NewObjects returns a client of the object store. Nothing is sent yet.
 func NewObjects(o Options) (*Objects, error) {
+	transport, err := minio.DefaultTransport(o.ObjectTLS)
+	if err != nil {
+		return nil, errors.Wrap(err, "make the object store's transport")
+	}
+	if o.Dial != nil {
+		transport.DialContext = o.Dial
+	}
 	client, err := minio.New(o.ObjectEndpoint, &minio.Options{
 		Creds:        credentials.NewStaticV4(o.AccessKey, o.SecretKey, ""),
 		Secure:       o.ObjectTLS,
 		Region:       o.Region,
 		BucketLookup: minio.BucketLookupPath,
 		MaxRetries:   1,
+		Transport:    transport,
 	})
 	if err != nil {
 		return nil, errors.Wrapf(err, "object store %q", o.ObjectEndpoint)
--- a/bbrstore/table.go
+++ b/bbrstore/table.go
@@ -13,9 +13,12 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
+	"net/http"
 	"strconv"
 
 	"github.com/aws/aws-sdk-go-v2/aws"
+	awshttp "github.com/aws/aws-sdk-go-v2/aws/transport/http"
 	"github.com/aws/aws-sdk-go-v2/credentials"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
@@ -56,6 +59,9 @@
 	ObjectTLS      bool
 
 	ListURL string
+
+	// Dial opens connections to the services. Nil means the system's own way.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Table is the table service.
@@ -67,6 +73,11 @@
 // NewTable returns a client of the table service. Nothing is sent yet.
 func NewTable(o Options) *Table {
 	client := dynamodb.New(dynamodb.Options{
+		HTTPClient: awshttp.NewBuildableClient().WithTransportOptions(func(t *http.Transport) {
+			if o.Dial != nil {
+				t.DialContext = o.Dial
+			}
+		}),
 		AppID:        o.Name,
 		Region:       o.Region,
 		BaseEndpoint: aws.String(o.TableEndpoint),
