Wait for a replica instead of asking again at once

Cause: a profile of an instance at 200 statements a second showed 30 % of its time in the wait for a replica. AwaitMove evaluated its condition twice before it waited, and the second time it held: a read that was to wait up to 100 ms chose its member again and again without a pause.

Change: AwaitMove waits for the next observation and tells whether there was one. The test was red before: it came back at once with nothing observed.

Ruled out: statements themselves (the throughput measurement has none that wait).

--- a/bbrgroup/group.go
+++ b/bbrgroup/group.go
@@ -113,42 +113,51 @@
 	})
 }
 
-// AwaitMove waits until a replica's state was observed, or the time is over.
-func (g *Group) AwaitMove(ctx context.Context) {
-	first := true
-	_ = g.await(ctx, func() bool {
-		defer func() { first = false }()
-		return !first
-	})
+// AwaitMove waits until a member's state was observed. It returns false if the
+// time is over before.
+func (g *Group) AwaitMove(ctx context.Context) bool {
+	moved, done := g.startWait()
+	defer done()
+	select {
+	case <-moved:
+		return true
+	case <-ctx.Done():
+		return false
+	}
 }
 
-// await waits until a condition holds that depends on the replicas' states.
-func (g *Group) await(ctx context.Context, holds func() bool) error {
-	if holds() {
-		return nil
-	}
+// startWait counts a waiter, so that replicas are looked at. It returns the
+// channel that the next observation closes, and a function that ends the wait.
+func (g *Group) startWait() (moved <-chan struct{}, done func()) {
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.waits++
 	g.pollLocked()
-	g.mu.Unlock()
-	defer func() {
+	return g.moved, func() {
 		g.mu.Lock()
 		g.waits--
 		g.mu.Unlock()
-	}()
-	for {
-		g.mu.Lock()
-		moved := g.moved
-		g.mu.Unlock()
-		if holds() {
-			return nil
-		}
+	}
+}
+
+// await waits until a condition holds that depends on the replicas' states.
+func (g *Group) await(ctx context.Context, holds func() bool) error {
+	if holds() {
+		return nil
+	}
+	moved, done := g.startWait()
+	defer done()
+	for !holds() {
 		select {
 		case <-moved:
 		case <-ctx.Done():
 			return errors.Wrap(ctx.Err(), "wait for a replica")
 		}
+		g.mu.Lock()
+		moved = g.moved
+		g.mu.Unlock()
 	}
+	return nil
 }
 
 // pollLocked starts a poller for each replica that has none.
--- /dev/null
+++ b/bbrgroup/group_test.go
@@ -0,0 +1,66 @@
+package bbrgroup
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bluebellroute/bluebellroute/bbrconfig"
+	"github.com/bluebellroute/bluebellroute/bbrjournal"
+	"github.com/bluebellroute/bluebellroute/bbrmember"
+	"github.com/bluebellroute/bluebellroute/bbrtype"
+)
+
+const testGroup bbrtype.GroupName = "orders"
+
+// newGroup returns a group in service whose members nobody can reach.
+func newGroup(t *testing.T) *Group {
+	t.Helper()
+	is := is.New(t)
+	r := NewRegistry(Deps{Clock: bbrtype.NewClock(), Group: &errgroup.Group{}, DataCentre: "derby"})
+	t.Cleanup(r.Close)
+	r.SetConfig(&bbrconfig.Config{Groups: map[bbrtype.GroupName]*bbrconfig.Group{testGroup: {
+		Name: testGroup, Slots: 1, Members: map[bbrtype.MemberName]bbrconfig.Member{
+			"m1": {Group: testGroup, Name: "m1", Address: "127.0.0.1:1"},
+			"m2": {Group: testGroup, Name: "m2", Address: "127.0.0.1:2"},
+		},
+	}}}, 1, "hash")
+	var s bbrjournal.State
+	_, err := s.Apply(bbrjournal.Record{Index: 1, Writer: "i1", Nonce: "n", Entries: []bbrjournal.Entry{
+		bbrjournal.Configured{Version: 1, Hash: "hash", Groups: map[bbrtype.GroupName]bbrjournal.Setting{
+			testGroup: {Members: []bbrtype.MemberName{"m1", "m2"}},
+		}},
+	}})
+	is.NoErr(err)
+	r.SetView(&s, 0)
+	g, ok := r.Group(testGroup)
+	is.True(ok)
+	return g
+}
+
+func TestAwaitMoveWaitsForAnObservation(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	is.True(!g.AwaitMove(ctx)) // nothing moved: only the time ended it
+	is.True(ctx.Err() != nil)
+
+	var group errgroup.Group
+	moved := make(chan bool, 1)
+	group.Go(func() error {
+		moved <- g.AwaitMove(context.Background())
+		return nil
+	})
+	for waiting := false; !waiting; {
+		g.mu.Lock()
+		waiting = g.waits > 0
+		g.mu.Unlock()
+	}
+	g.Observe("m2", bbrmember.State{Position: 8}, 0)
+	is.True(<-moved)
+	is.NoErr(group.Wait())
+}
--- a/bbrproxy/read.go
+++ b/bbrproxy/read.go
@@ -138,7 +138,7 @@
 func (c *session) awaitReplica(r *request, limit time.Duration) {
 	ctx, cancel := context.WithTimeout(c.srv.ctx, limit)
 	defer cancel()
-	r.group.AwaitMove(ctx)
+	_ = r.group.AwaitMove(ctx)
 }
 
 // chooseMember picks the member for a read.
