Let looks at replicas take no statement's place

Cause: while anyone waits for a replica, the instance looks at its position again and again. The look held a place of the statement limiter for as long as anyone waited; where the limiter stood at 1, no read reached that replica meanwhile, and the length of the whole look counted as the latency of a statement.

Change: a look takes a connection and no place, and stands in no queue. Tests were red before, in both orders. The noisy experiment gives its load enough callers, so that none waits for its own earlier operations, and counts from the time when the flood is connected; connecting is measured on its own.

Ruled out as the cause of the long latencies beside a noisy tenant: connecting (p99 2.8 ms), the start of the flood, the processors (half idle). A trace of operations over 0.7 s shows them at single pairs of instance and group: with eight instances, at least eight statements are at work on a member with three slots, so that each instance's turn takes three times as long, and a chance surplus of callers at one instance makes a queue there.

--- a/bbrbench/disturb.go
+++ b/bbrbench/disturb.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/bluebellroute/bluebellroute/bbrstandinplatform"
 	"github.com/bluebellroute/bluebellroute/bbrtrial"
 	"github.com/bluebellroute/bluebellroute/bbrtype"
@@ -153,6 +155,10 @@
 // noisyRate is the rate of the flood: more than the replicas can do.
 const noisyRate = 3600
 
+// floodStart is the time in which the callers of the flood connect. They prove
+// their passwords by work that this process has to do, beside the load.
+const floodStart = 3 * time.Second
+
 // noise floods the fleet as another tenant in the second half.
 func noise(ctx context.Context, r *run) error {
 	half := r.request.Duration / 2
@@ -160,11 +166,19 @@
 		return nil
 	}
 	quiet := r.workload.Quantile(bbrtrial.OperationView, 99)
-	r.workload.ResetLatency()
 	flood := bbrtrial.NewWorkload(r.fleet, bbrtrial.Load{
 		Callers: 600, Rate: noisyRate, Caller: "public", Seed: r.request.Seed + 1,
 	})
-	flood.Run(ctx)
+	var group errgroup.Group
+	group.Go(func() error {
+		flood.Run(ctx)
+		return nil
+	})
+	wait(ctx, floodStart)
+	r.workload.ResetLatency()
+	if err := group.Wait(); err != nil {
+		return err
+	}
 	loud := r.workload.Quantile(bbrtrial.OperationView, 99)
 	r.extra["quietP99Us"] = float64(quiet)
 	r.extra["noisyP99Us"] = float64(loud)
--- a/bbrbench/experiment.go
+++ b/bbrbench/experiment.go
@@ -176,6 +176,8 @@
 func quietTenant() bbrtrial.Load {
 	l := usual()
 	l.Caller = "staff"
+	// So many that no caller's operations wait for its own earlier ones.
+	l.Callers = 240
 	return l
 }
 
--- a/bbrgroup/group.go
+++ b/bbrgroup/group.go
@@ -30,10 +30,6 @@
 	pollPause = time.Millisecond
 	// pollPatience bounds the wait for a connection to look at a replica.
 	pollPatience = 2 * time.Second
-	// systemPriority is the priority of the system's own statements.
-	systemPriority = 0
-	// systemQueue bounds the system's own waiting statements.
-	systemQueue = 100
 )
 
 // Group serves one database group.
@@ -191,13 +187,11 @@
 		}
 		g.mu.Unlock()
 	}()
-	now := g.registry.clock.Now()
-	conn, err := pool.Acquire(ctx, bbrpool.Ticket{Queue: systemQueue, Priority: systemPriority, Deadline: now.Add(pollPatience)})
+	conn, err := pool.Acquire(ctx, bbrpool.Ticket{Look: true, Deadline: g.registry.clock.Now().Add(pollPatience)})
 	if err != nil {
 		return
 	}
-	started := g.registry.clock.Now()
-	defer func() { pool.Release(conn, g.registry.clock.Now().Sub(started)) }()
+	defer pool.Release(conn, 0)
 	sql := g.Config().StateSQL
 	for ctx.Err() == nil {
 		g.mu.Lock()
--- a/bbrpool/conn.go
+++ b/bbrpool/conn.go
@@ -39,6 +39,8 @@
 	bornAt   bbrtype.Mono
 	usedAt   bbrtype.Mono
 	tainted  bool
+	// look is set while the connection serves looks at the member's state only.
+	look bool
 	// writeBy is the present deadline of writes.
 	writeBy time.Time
 }
--- a/bbrpool/pool.go
+++ b/bbrpool/pool.go
@@ -17,6 +17,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -78,6 +79,9 @@
 	Queue    int
 	Priority int
 	Deadline bbrtype.Mono
+	// Look is set for looks at the member's state. They are no work for it and
+	// take no statement's place.
+	Look bool
 }
 
 // grantedConn is what a waiter receives.
@@ -106,6 +110,8 @@
 	peakAt   bbrtype.Mono
 	closed   bool
 	waitings map[*bbradmit.Waiter]chan grantedConn
+	// looks are the waiters that only look. They stand in no queue.
+	looks []*bbradmit.Waiter
 
 	activity activityWatch
 }
@@ -139,7 +145,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.opts.Clock.Now()
-	use := p.open - len(p.idle) + p.queue.Len()
+	use := p.open - len(p.idle) + p.queue.Len() + len(p.looks)
 	if use >= p.peak || now.Sub(p.peakAt) > wantWindow {
 		p.peak, p.peakAt = use, now
 	}
@@ -200,14 +206,16 @@
 		return nil, ErrClosed
 	}
 	now := p.opts.Clock.Now()
-	if p.queue.Len() == 0 && len(p.idle) > 0 && p.limiter.HasRoom() {
-		c := p.takeIdle()
+	if len(p.idle) > 0 && (t.Look || p.queue.Len() == 0 && p.limiter.HasRoom()) {
+		c := p.takeIdle(t.Look)
 		p.mu.Unlock()
 		return c, nil
 	}
 	ch := make(chan grantedConn, 1)
 	w := &bbradmit.Waiter{Tenant: t.Tenant, Weight: t.Weight, Priority: t.Priority, Deadline: t.Deadline}
-	if err := p.queue.Push(w, max(t.Queue, 1)); err != nil {
+	if t.Look {
+		p.looks = append(p.looks, w)
+	} else if err := p.queue.Push(w, max(t.Queue, 1)); err != nil {
 		p.mu.Unlock()
 		return nil, ErrTurnedAway
 	}
@@ -230,8 +238,7 @@
 // back.
 func (p *Pool) giveUp(w *bbradmit.Waiter, ch chan grantedConn, err error) error {
 	p.mu.Lock()
-	p.queue.Remove(w)
-	delete(p.waitings, w)
+	p.forget(w)
 	p.mu.Unlock()
 	select {
 	case g := <-ch:
@@ -243,29 +250,49 @@
 	return err
 }
 
-func (p *Pool) takeIdle() *Conn {
+// forget takes a waiter out.
+func (p *Pool) forget(w *bbradmit.Waiter) {
+	p.queue.Remove(w)
+	delete(p.waitings, w)
+	p.looks = slices.DeleteFunc(p.looks, func(l *bbradmit.Waiter) bool { return l == w })
+}
+
+// takeIdle takes the connection that was used last.
+func (p *Pool) takeIdle(look bool) *Conn {
 	c := p.idle[len(p.idle)-1]
 	p.idle = p.idle[:len(p.idle)-1]
 	p.busy[c] = true
-	p.limiter.Start()
+	c.look = look
+	if !look {
+		p.limiter.Start()
+	}
 	return c
 }
 
+// hand gives an idle connection to a waiter.
+func (p *Pool) hand(w *bbradmit.Waiter, look bool) {
+	if ch := p.waitings[w]; ch != nil {
+		delete(p.waitings, w)
+		ch <- grantedConn{conn: p.takeIdle(look)}
+	}
+}
+
 // serve hands connections to waiters and starts dials. The lock is held.
 func (p *Pool) serve() {
 	now := p.opts.Clock.Now()
+	for len(p.looks) > 0 && len(p.idle) > 0 {
+		w := p.looks[0]
+		p.looks = p.looks[1:]
+		p.hand(w, true)
+	}
 	for p.queue.Len() > 0 && len(p.idle) > 0 && p.limiter.HasRoom() {
 		w := p.queue.Pop(now)
 		if w == nil {
-			return
-		}
-		ch := p.waitings[w]
-		delete(p.waitings, w)
-		if ch != nil {
-			ch <- grantedConn{conn: p.takeIdle()}
+			break
 		}
+		p.hand(w, false)
 	}
-	need := min(p.queue.Len(), p.limiter.Limit()-p.limiter.Active())
+	need := min(p.queue.Len(), p.limiter.Limit()-p.limiter.Active()) + len(p.looks)
 	for p.dialing < min(dialLimit, need) && p.open+p.dialing < p.allowed(now) && !p.closed {
 		if now < p.retryAt {
 			return
@@ -311,10 +338,14 @@
 		// The open connections serve the waiters.
 		return
 	}
+	p.turnAway(errors.WithMessage(ErrUnreachable, err.Error()))
+}
+
+// turnAway ends all waits with an error.
+func (p *Pool) turnAway(err error) {
 	for w, ch := range p.waitings {
-		p.queue.Remove(w)
-		delete(p.waitings, w)
-		ch <- grantedConn{err: errors.WithMessage(ErrUnreachable, err.Error())}
+		p.forget(w)
+		ch <- grantedConn{err: err}
 	}
 }
 
@@ -370,7 +401,9 @@
 func (p *Pool) Release(c *Conn, took time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.limiter.End(took)
+	if !c.look {
+		p.limiter.End(took)
+	}
 	delete(p.busy, c)
 	now := p.opts.Clock.Now()
 	if c.tainted || p.closed || p.open+p.dialing > p.allowed(now) {
@@ -423,11 +456,7 @@
 		p.open--
 	}
 	p.idle = nil
-	for w, ch := range p.waitings {
-		p.queue.Remove(w)
-		delete(p.waitings, w)
-		ch <- grantedConn{err: ErrClosed}
-	}
+	p.turnAway(ErrClosed)
 }
 
 // Jitter returns a random part of a duration between half and all of it.
--- /dev/null
+++ b/bbrpool/pool_test.go
@@ -0,0 +1,113 @@
+package bbrpool
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bluebellroute/bluebellroute/bbrmember"
+	"github.com/bluebellroute/bluebellroute/bbrtype"
+)
+
+// patience is longer than any wait of these tests.
+const patience = time.Minute
+
+// newPool returns a pool with open connections that lead nowhere.
+func newPool(t *testing.T, slots, connections int) *Pool {
+	t.Helper()
+	clock := bbrtype.NewClock()
+	p := New(Options{
+		Ref: bbrmember.Ref{Group: "orders", Member: "m2"}, Slots: slots, Clock: clock, Group: &errgroup.Group{},
+		Dialer: &Dialer{Clock: clock},
+	})
+	for range connections {
+		near, far := net.Pipe()
+		t.Cleanup(func() { _ = far.Close() })
+		p.idle = append(p.idle, newConn(near, nil, 0, nil, clock.Now()))
+		p.open++
+	}
+	p.Grant(connections, clock.Now().Add(patience))
+	t.Cleanup(p.Close)
+	return p
+}
+
+func ticket(p *Pool) Ticket {
+	return Ticket{Tenant: "staff", Queue: 10, Priority: 5, Deadline: p.opts.Clock.Now().Add(patience)}
+}
+
+// acquire takes a connection that must be free.
+func acquire(t *testing.T, p *Pool, k Ticket) *Conn {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	c, err := p.Acquire(ctx, k)
+	if err != nil {
+		t.Fatalf("no connection: %v", err)
+	}
+	return c
+}
+
+func TestALookTakesNoStatementsPlace(t *testing.T) {
+	cases := map[string]struct{ looksFirst bool }{
+		"a look while the member is busy":     {false},
+		"a statement while somebody looks on": {true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPool(t, 1, 2)
+			look := ticket(p)
+			look.Look = true
+			first, second := ticket(p), look
+			if c.looksFirst {
+				first, second = second, first
+			}
+			a := acquire(t, p, first)
+			b := acquire(t, p, second)
+			is.Equal(p.Stats().Active, 1) // the statement alone counts
+			p.Release(a, 0)
+			p.Release(b, 0)
+			is.Equal(p.Stats().Active, 0)
+			is.Equal(p.Stats().Idle, 2)
+		})
+	}
+}
+
+func TestSlotsBoundStatements(t *testing.T) {
+	is := is.New(t)
+	p := newPool(t, 1, 2)
+	a := acquire(t, p, ticket(p))
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+	defer cancel()
+	_, err := p.Acquire(ctx, ticket(p))
+	is.True(err != nil) // a second statement has to wait
+	p.Release(a, 0)
+	p.Release(acquire(t, p, ticket(p)), 0)
+}
+
+func TestTaintedConnectionsAreNotUsedAgain(t *testing.T) {
+	is := is.New(t)
+	p := newPool(t, 2, 2)
+	a := acquire(t, p, ticket(p))
+	p.Discard(a)
+	is.Equal(p.Stats().Open, 1)
+	b := acquire(t, p, ticket(p))
+	is.True(a != b)
+	p.Release(b, 0)
+}
+
+func TestALowerGrantClosesConnections(t *testing.T) {
+	is := is.New(t)
+	p := newPool(t, 3, 3)
+	busy := acquire(t, p, ticket(p))
+	p.Grant(1, p.opts.Clock.Now().Add(patience))
+	is.Equal(p.Stats().Open, 1) // idle ones at once
+	p.Grant(0, p.opts.Clock.Now().Add(patience))
+	is.Equal(p.Stats().Open, 1) // one in use ends its statement first
+	p.Release(busy, 0)
+	is.Equal(p.Stats().Open, 0)
+}
--- a/bbrtrial/workload.go
+++ b/bbrtrial/workload.go
@@ -26,6 +26,8 @@
 	OperationWrite Operation = "write"
 	OperationOwn   Operation = "readOwn"
 	OperationView  Operation = "readView"
+	// OperationConnect is the making of a caller's connection.
+	OperationConnect Operation = "connect"
 )
 
 // Load describes a workload.
@@ -92,7 +94,7 @@
 // NewWorkload prepares a workload. Its table is made by Prepare.
 func NewWorkload(s System, load Load) *Workload {
 	w := &Workload{s: s, load: load, latency: map[Operation]*hdrhistogram.Histogram{}, failures: map[string]int{}}
-	for _, op := range []Operation{OperationWrite, OperationOwn, OperationView} {
+	for _, op := range []Operation{OperationWrite, OperationOwn, OperationView, OperationConnect} {
 		w.latency[op] = hdrhistogram.New(histogramLow, histogramHigh, histogramDigits)
 	}
 	w.nextID.Store(int64(load.Seed%1000) * 1e9)
@@ -232,7 +234,9 @@
 	if name == "" {
 		name = []string{"staff", "public"}[c.id%2]
 	}
+	before := time.Now()
 	conn, err := c.dial(ctx, name)
+	c.w.record(OperationConnect, time.Since(before))
 	if err != nil {
 		c.w.fail("connect", err)
 		c.instance = c.pickInstance()
