Call peers over one HTTP/2 connection

Cause: an instance of 8 before 3 databases exchanged 59 KB/s with its peers, where 27 KB/s are allowed for all control. The slope for each peer is 6.8 KB/s, 430 bytes a message, about half of it headers of HTTP/1.1.

Change: calls to a peer share one HTTP/2 connection, in the clear or by TLS.

Ruled out: closing idle connections of the transport (a call that was given up may not have left the connection yet).

--- a/bbrbench/capacity.go
+++ b/bbrbench/capacity.go
@@ -26,6 +26,7 @@
 				Flags: []cli.Flag{
 					&cli.StringFlag{Name: "out", Value: slopesFile, Usage: "`FILE` for the measurement"},
 					&cli.DurationFlag{Name: "window", Value: 8 * time.Second, Usage: "how long each fleet is measured"},
+					&cli.IntFlag{Name: "instances", Usage: "measure only fleets of this `NUMBER`"},
 					&cli.StringSliceFlag{Name: "axis", Usage: "measure only `AXIS`: grid, callers, statements or changes"},
 				},
 				Action: func(ctx context.Context, cmd *cli.Command) error {
@@ -34,7 +35,7 @@
 						axes = append(axes, bbrcapacity.Axis(a))
 					}
 					m, err := bbrcapacity.Measure(ctx, bbrcapacity.Request{
-						Programs: programs, Window: cmd.Duration("window"), Axes: axes,
+						Programs: programs, Window: cmd.Duration("window"), Axes: axes, Instances: cmd.Int("instances"),
 						Progress: func(what string) { fmt.Fprintln(os.Stderr, what) },
 					})
 					if err != nil {
--- a/bbrcapacity/measure.go
+++ b/bbrcapacity/measure.go
@@ -39,8 +39,10 @@
 	Programs bbrtrial.Programs
 	// Window is how long each fleet is measured.
 	Window time.Duration
-	// Axes restricts the measurement to some axes. Empty means all.
-	Axes []Axis
+	// Axes restricts the measurement to some axes, Instances to the fleets of
+	// that many. Empty and 0 mean all.
+	Axes      []Axis
+	Instances int
 	// Progress is told which fleet is measured.
 	Progress func(what string)
 }
@@ -56,7 +58,7 @@
 		return nil, err
 	}
 	for _, step := range steps() {
-		if len(q.Axes) > 0 && !slices.Contains(q.Axes, step.Axis) {
+		if !q.wants(step) {
 			continue
 		}
 		q.Progress(fmt.Sprintf("%s %+v", step.Axis, step.Size))
@@ -69,6 +71,11 @@
 	return m, nil
 }
 
+// wants reports whether a step is asked for.
+func (q Request) wants(s Sample) bool {
+	return (len(q.Axes) == 0 || slices.Contains(q.Axes, s.Axis)) && (q.Instances == 0 || q.Instances == s.Size.Instances)
+}
+
 // steps lists the sizes to measure.
 func steps() []Sample {
 	var out []Sample
--- a/bbrkernel/control.go
+++ b/bbrkernel/control.go
@@ -65,8 +65,12 @@
 		_, _ = w.Write([]byte("ready\n"))
 	})
 	mux.HandleFunc("/request", p.ServeRequestLookup)
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(true)
 	return &controlServer{
-		server: &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
+		server: &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, Protocols: protocols},
 		tls:    cfg,
 	}
 }
--- a/bbrpeer/peer.go
+++ b/bbrpeer/peer.go
@@ -31,10 +31,10 @@
 const PathPrefix = peerpb.PeerPathPrefix
 
 const (
-	// idleConnections is the number of idle connections kept to each peer.
-	idleConnections = 4
 	// dialTimeout bounds the making of a connection to a peer.
 	dialTimeout = 500 * time.Millisecond
+	// idleTimeout is how long a connection to a peer is kept without use.
+	idleTimeout = time.Minute
 )
 
 // RenewRequest asks the granter of some members for connections.
@@ -109,51 +109,98 @@
 	return &peerpb.ConfigurationReply{Body: body}, nil
 }
 
-// Clients calls peers by their address.
+// Clients calls peers by their address. Calls to a peer share one HTTP/2
+// connection, whose compressed headers keep them small.
 type Clients struct {
-	http   *http.Client
-	scheme string
+	tls  *tls.Config
+	dial bbrmetric.DialFunc
 
 	mu    sync.Mutex
-	peers map[string]peerpb.Peer
+	peers map[string]*client
+}
+
+// client calls one peer.
+type client struct {
+	peerpb.Peer
+	dial bbrmetric.DialFunc
+
+	mu   sync.Mutex
+	conn net.Conn
 }
 
 // NewClients returns clients that use TLS if a configuration is given.
 func NewClients(cfg *tls.Config, metrics *bbrmetric.Set) *Clients {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{
-		TLSClientConfig:     cfg,
-		MaxIdleConnsPerHost: idleConnections,
-		IdleConnTimeout:     time.Minute,
-		DialContext:         metrics.CountDial(bbrmetric.LinkPeer, dialer.DialContext),
-	}
-	scheme := "http://"
-	if cfg != nil {
-		scheme = "https://"
-	}
-	return &Clients{http: &http.Client{Transport: transport}, scheme: scheme, peers: map[string]peerpb.Peer{}}
+	return &Clients{tls: cfg, dial: metrics.CountDial(bbrmetric.LinkPeer, dialer.DialContext), peers: map[string]*client{}}
 }
 
-func (c *Clients) at(address string) peerpb.Peer {
+// at returns the client of a peer.
+func (c *Clients) at(address string) *client {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.peers[address]
 	if p == nil {
-		p = peerpb.NewPeerProtobufClient(c.scheme+address, c.http)
+		p = c.newClient(address)
 		c.peers[address] = p
 	}
 	return p
 }
 
+func (c *Clients) newClient(address string) *client {
+	p := &client{dial: c.dial}
+	t := &http.Transport{TLSClientConfig: c.tls, IdleConnTimeout: idleTimeout, DialContext: p.connect, Protocols: new(http.Protocols)}
+	scheme := "http://"
+	if c.tls != nil {
+		scheme = "https://"
+		t.Protocols.SetHTTP2(true)
+	} else {
+		t.Protocols.SetUnencryptedHTTP2(true)
+	}
+	p.Peer = peerpb.NewPeerProtobufClient(scheme+address, &http.Client{Transport: t})
+	return p
+}
+
+// connect opens the connection and remembers it.
+func (p *client) connect(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := p.dial(ctx, network, address)
+	if err == nil {
+		p.mu.Lock()
+		p.conn = conn
+		p.mu.Unlock()
+	}
+	return conn, err
+}
+
+// close closes the connection.
+func (p *client) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conn != nil {
+		_ = p.conn.Close()
+		p.conn = nil
+	}
+}
+
+// failed turns a call's error into the caller's. Unless the peer itself refused
+// the call, the connection may have gone silent: the next call makes a new one.
+func (p *client) failed(err error, what, address string) error {
+	var refused twirp.Error
+	if !errors.As(err, &refused) || refused.Code() == twirp.Internal {
+		p.close()
+	}
+	return errors.Wrapf(err, "%s %s", what, address)
+}
+
 // Exchange sends a message to a peer and returns its reply.
 func (c *Clients) Exchange(ctx context.Context, address string, m bbrcontrol.Message) (bbrcontrol.Message, error) {
 	req, err := messageToProto(m)
 	if err != nil {
 		return bbrcontrol.Message{}, err
 	}
-	reply, err := c.at(address).Exchange(ctx, req)
+	p := c.at(address)
+	reply, err := p.Exchange(ctx, req)
 	if err != nil {
-		return bbrcontrol.Message{}, errors.Wrapf(err, "exchange with %s", address)
+		return bbrcontrol.Message{}, p.failed(err, "exchange with", address)
 	}
 	return messageFromProto(reply)
 }
@@ -164,9 +211,10 @@
 	for ref, a := range r.Asks {
 		req.Asks = append(req.Asks, &peerpb.Ask{Ref: refToProto(ref), Held: uint32(a.Held), Want: uint32(a.Want)})
 	}
-	reply, err := c.at(address).Renew(ctx, req)
+	p := c.at(address)
+	reply, err := p.Renew(ctx, req)
 	if err != nil {
-		return nil, errors.Wrapf(err, "renew grants with %s", address)
+		return nil, p.failed(err, "renew grants with", address)
 	}
 	out := map[bbrmember.Ref]int{}
 	for _, g := range reply.GetGrants() {
@@ -177,12 +225,19 @@
 
 // ConfigurationBody asks a peer for a configuration's body.
 func (c *Clients) ConfigurationBody(ctx context.Context, address, hash string) ([]byte, error) {
-	reply, err := c.at(address).Configuration(ctx, &peerpb.ConfigurationRequest{Hash: hash})
+	p := c.at(address)
+	reply, err := p.Configuration(ctx, &peerpb.ConfigurationRequest{Hash: hash})
 	if err != nil {
-		return nil, errors.Wrapf(err, "read configuration from %s", address)
+		return nil, p.failed(err, "read configuration from", address)
 	}
 	return reply.GetBody(), nil
 }
 
-// Close closes the idle connections.
-func (c *Clients) Close() { c.http.CloseIdleConnections() }
+// Close closes the connections.
+func (c *Clients) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.peers {
+		p.close()
+	}
+}
--- a/bbrtls/tls.go
+++ b/bbrtls/tls.go
@@ -112,6 +112,7 @@
 	cfg := r.ServerConfig()
 	cfg.ClientAuth = tls.RequireAndVerifyClientCert
 	cfg.ClientCAs = authority
+	cfg.NextProtos = []string{"h2", "http/1.1"}
 	return cfg
 }
 
