Name the look at a member's state instead of sending it

Cause: each probe sent the text of the state statement, 250 bytes, and received a description of its columns: 358 bytes a probe, 36 KB/s on an instance of 8 before 19 databases.

Change: looks are prepared once on their connection and then named. The canned member answers them.

Ruled out: rarer probes of primaries (they are a part of the failover gap).

--- a/bbrgroup/group.go
+++ b/bbrgroup/group.go
@@ -201,7 +201,7 @@
 			return
 		}
 		sentAt := g.registry.clock.Now()
-		rows, err := conn.Query(ctx, sql)
+		rows, err := conn.QueryPrepared(ctx, sql)
 		if err != nil {
 			conn.Taint()
 			return
--- a/bbrinstance/member.go
+++ b/bbrinstance/member.go
@@ -100,7 +100,7 @@
 		// The kept connection may have gone silent: a new one gets its time.
 		deadline, _ := ctx.Deadline()
 		half, cancel := context.WithTimeout(ctx, time.Until(deadline)/2)
-		rows, err := c.Query(half, sql)
+		rows, err := c.QueryPrepared(half, sql)
 		cancel()
 		if err == nil {
 			p.keep(ref, c)
@@ -115,7 +115,7 @@
 	if err != nil {
 		return bbrmember.State{}, err
 	}
-	rows, err := c.Query(ctx, sql)
+	rows, err := c.QueryPrepared(ctx, sql)
 	if err != nil {
 		c.Close()
 		return bbrmember.State{}, err
--- a/bbrpool/conn.go
+++ b/bbrpool/conn.go
@@ -1,7 +1,6 @@
 package bbrpool
 
 import (
-	"context"
 	"net"
 	"os"
 	"time"
@@ -106,59 +105,6 @@
 // IsTimeout reports whether a read only took too long.
 func IsTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
 
-// Query runs a text by the simple protocol and returns the rows of its last
-// statement. A *MemberError tells that the member refused it; any other error
-// leaves the connection tainted.
-func (c *Conn) Query(ctx context.Context, sql string) ([][]string, error) {
-	if deadline, ok := ctx.Deadline(); ok {
-		if err := c.net.SetDeadline(deadline); err != nil {
-			return nil, errors.Wrap(err, "set the deadline of a query")
-		}
-		c.writeBy = time.Time{}
-	}
-	stop := context.AfterFunc(ctx, func() { _ = c.net.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
-	rows, err := c.query(sql)
-	var refused *MemberError
-	if err != nil && !errors.As(err, &refused) {
-		c.tainted = true
-	}
-	return rows, err
-}
-
-func (c *Conn) query(sql string) ([][]string, error) {
-	c.fe.Send(&pgproto3.Query{String: sql})
-	if err := c.fe.Flush(); err != nil {
-		return nil, errors.Wrap(err, "send a query")
-	}
-	var rows [][]string
-	var refused error
-	for {
-		msg, err := c.fe.Receive()
-		if err != nil {
-			return nil, errors.Wrap(err, "read a query's answer")
-		}
-		switch m := msg.(type) {
-		case *pgproto3.RowDescription:
-			rows = nil
-		case *pgproto3.DataRow:
-			rows = append(rows, textRow(m))
-		case *pgproto3.ErrorResponse:
-			refused = NewMemberError(m)
-		case *pgproto3.ReadyForQuery:
-			return rows, refused
-		}
-	}
-}
-
-func textRow(m *pgproto3.DataRow) []string {
-	row := make([]string, len(m.Values))
-	for i, v := range m.Values {
-		row[i] = string(v)
-	}
-	return row
-}
-
 // interrupt makes a read that waits return an error for which IsTimeout holds.
 func (c *Conn) interrupt() { _ = c.net.SetReadDeadline(time.Unix(1, 0)) }
 
--- /dev/null
+++ b/bbrpool/query.go
@@ -0,0 +1,89 @@
+package bbrpool
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
+)
+
+// Query runs a text by the simple protocol and returns the rows of its last
+// statement. A *MemberError tells that the member refused it; any other error
+// leaves the connection tainted.
+func (c *Conn) Query(ctx context.Context, sql string) ([][]string, error) {
+	return c.ask(ctx, func() { c.fe.Send(&pgproto3.Query{String: sql}) })
+}
+
+// QueryPrepared does the same for a single statement that is asked often: it is
+// sent once and then named, which makes later calls small.
+func (c *Conn) QueryPrepared(ctx context.Context, sql string) ([][]string, error) {
+	name := "look" + strconv.FormatUint(xxhash.Sum64String(sql), 36)
+	rows, err := c.ask(ctx, func() {
+		if !c.IsPrepared(name) {
+			c.fe.Send(&pgproto3.Parse{Name: name, Query: sql})
+			c.NotePrepared(name)
+		}
+		c.fe.Send(&pgproto3.Bind{PreparedStatement: name})
+		c.fe.Send(&pgproto3.Execute{})
+		c.fe.Send(&pgproto3.Sync{})
+	})
+	if err != nil {
+		c.ForgetPrepared(name)
+	}
+	return rows, err
+}
+
+// ask sends messages and takes the answer up to the next ReadyForQuery.
+func (c *Conn) ask(ctx context.Context, send func()) ([][]string, error) {
+	if deadline, ok := ctx.Deadline(); ok {
+		if err := c.net.SetDeadline(deadline); err != nil {
+			return nil, errors.Wrap(err, "set the deadline of a query")
+		}
+		c.writeBy = time.Time{}
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.net.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	send()
+	rows, err := c.takeRows()
+	var refused *MemberError
+	if err != nil && !errors.As(err, &refused) {
+		c.tainted = true
+	}
+	return rows, err
+}
+
+// takeRows reads an answer.
+func (c *Conn) takeRows() ([][]string, error) {
+	if err := c.fe.Flush(); err != nil {
+		return nil, errors.Wrap(err, "send a query")
+	}
+	var rows [][]string
+	var refused error
+	for {
+		msg, err := c.fe.Receive()
+		if err != nil {
+			return nil, errors.Wrap(err, "read a query's answer")
+		}
+		switch m := msg.(type) {
+		case *pgproto3.RowDescription:
+			rows = nil
+		case *pgproto3.DataRow:
+			rows = append(rows, textRow(m))
+		case *pgproto3.ErrorResponse:
+			refused = NewMemberError(m)
+		case *pgproto3.ReadyForQuery:
+			return rows, refused
+		}
+	}
+}
+
+func textRow(m *pgproto3.DataRow) []string {
+	row := make([]string, len(m.Values))
+	for i, v := range m.Values {
+		row[i] = string(v)
+	}
+	return row
+}
--- a/bbrstandindb/canned.go
+++ b/bbrstandindb/canned.go
@@ -16,6 +16,8 @@
 	group    errgroup.Group
 	row      []byte
 	state    []byte
+	// stateRow is the state's answer without a description.
+	stateRow []byte
 }
 
 // ListenCanned starts a canned member.
@@ -31,6 +33,7 @@
 	}
 	c.row = encodeAnswer([]string{"last"}, []string{"42"})
 	c.state = encodeAnswer([]string{"r", "p", "q", "h"}, []string{role, "0/100", "0/100", "1"})
+	c.stateRow = encodeRow([]string{role, "0/100", "0/100", "1"}, nil)
 	c.group.Go(c.accept)
 	return c, nil
 }
@@ -44,20 +47,27 @@
 // encodeAnswer encodes a row with its description.
 func encodeAnswer(names, values []string) []byte {
 	fields := make([]pgproto3.FieldDescription, len(names))
-	row := make([][]byte, len(values))
 	for i := range names {
 		fields[i] = pgproto3.FieldDescription{Name: []byte(names[i]), DataTypeOID: oidText, DataTypeSize: -1, TypeModifier: -1}
-		row[i] = []byte(values[i])
 	}
-	var b []byte
-	for _, m := range []pgproto3.BackendMessage{
-		&pgproto3.RowDescription{Fields: fields}, &pgproto3.DataRow{Values: row}, &pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")},
-	} {
-		b, _ = m.Encode(b)
+	b, _ := (&pgproto3.RowDescription{Fields: fields}).Encode(nil)
+	return encodeRow(values, b)
+}
+
+// encodeRow adds a row and the end of its answer to b.
+func encodeRow(values []string, b []byte) []byte {
+	row := make([][]byte, len(values))
+	for i := range values {
+		row[i] = []byte(values[i])
 	}
+	b, _ = (&pgproto3.DataRow{Values: row}).Encode(b)
+	b, _ = (&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")}).Encode(b)
 	return b
 }
 
+// asksState reports whether a text asks for the member's state.
+func asksState(text string) bool { return strings.Contains(text, "pg_is_in_recovery") }
+
 func (c *Canned) accept() error {
 	for {
 		conn, err := c.listener.Accept()
@@ -95,6 +105,8 @@
 	}
 	ready, _ := (&pgproto3.ReadyForQuery{TxStatus: 'I'}).Encode(nil)
 	var out []byte
+	looks := map[string]bool{}
+	bound := ""
 	for {
 		msg, err := be.Receive()
 		if err != nil {
@@ -102,7 +114,7 @@
 		}
 		switch m := msg.(type) {
 		case *pgproto3.Query:
-			if strings.Contains(m.String, "pg_is_in_recovery") {
+			if asksState(m.String) {
 				out = append(out, c.state...)
 			} else {
 				out = append(out, c.row...)
@@ -111,15 +123,21 @@
 		case *pgproto3.Sync:
 			out = append(out, ready...)
 		case *pgproto3.Parse:
+			looks[m.Name] = asksState(m.Query)
 			out, _ = (&pgproto3.ParseComplete{}).Encode(out)
 			continue
 		case *pgproto3.Bind:
+			bound = m.PreparedStatement
 			out, _ = (&pgproto3.BindComplete{}).Encode(out)
 			continue
 		case *pgproto3.Describe:
 			out, _ = (&pgproto3.NoData{}).Encode(out)
 			continue
 		case *pgproto3.Execute:
+			if looks[bound] {
+				out = append(out, c.stateRow...)
+				continue
+			}
 			out, _ = (&pgproto3.CommandComplete{CommandTag: []byte("SELECT 0")}).Encode(out)
 			continue
 		case *pgproto3.Terminate:
