Talk rarely while nothing is going on

Cause: four messages a second to each peer, each way, each with all reports and the list of the instances heard; and the first steward probed every member of every group without end, because it looked at them itself to tell who follows whom. An instance of 8 before 19 databases spent 132 KB/s, its steward 165 KB/s.

Change: while nothing is suspected, changing, lagging or unknown, messages go once a second (an eighth of the lowest maxAge, if that is less), requests leave the reports out, and replicas are probed half as often as primaries. Messages name the silent instances instead of the heard ones. The steward takes members' states from its peers' reports. A new configuration in force is told at once. A report of a calm time counts for as long as the pause, and not any more once the primary fails here.

Ruled out: one slower interval for all times (it is a part of the failover gap); sending only what has changed (it needs a memory of what each peer has).

Joined fuzz and its mutations pass.

--- a/bbrconfig/config.go
+++ b/bbrconfig/config.go
@@ -232,6 +232,18 @@
 	return out
 }
 
+// LeastAge returns the lowest age of data that a read policy allows for replicas,
+// 0 if there is none.
+func (c *Config) LeastAge() time.Duration {
+	least := time.Duration(0)
+	for _, p := range c.Policies {
+		if p.Replicas == ReplicasPrefer && (least == 0 || p.MaxAge < least) {
+			least = p.MaxAge
+		}
+	}
+	return least
+}
+
 // FailoverPolicies returns the policies of all groups.
 func (c *Config) FailoverPolicies() map[bbrtype.GroupName]bbrfailover.Policy {
 	out := make(map[bbrtype.GroupName]bbrfailover.Policy, len(c.Groups))
--- a/bbrcontrol/change.go
+++ b/bbrcontrol/change.go
@@ -327,11 +327,11 @@
 	for _, member := range g.Members {
 		ref := bbrmember.Ref{Group: name, Member: member}
 		m := c.memberOf(ref)
-		st := m.state
 		if member == l.Member || now.Sub(m.followAt) < followRetry {
 			continue
 		}
-		if st == nil || m.stateAt < c.groupOf(name).namedAt || now.Sub(m.stateAt) > c.opts.Fresh {
+		st, at := m.newest()
+		if st == nil || at < c.groupOf(name).namedAt || now.Sub(at) > c.opts.Silence {
 			c.suspect(now, ref)
 			continue
 		}
--- a/bbrcontrol/control.go
+++ b/bbrcontrol/control.go
@@ -40,8 +40,11 @@
 	// Nonce returns a text that no other call on any instance returns.
 	Nonce func() string
 
-	HeadInterval     time.Duration
+	HeadInterval time.Duration
+	// ExchangeInterval is the pause between two messages to a peer,
+	// CalmInterval that while nothing is going on.
 	ExchangeInterval time.Duration
+	CalmInterval     time.Duration
 	ProbeInterval    time.Duration
 	ProbeTimeout     time.Duration
 	PromoteTimeout   time.Duration
@@ -83,6 +86,7 @@
 		Authority:        bbrauthority.DefaultSettings(),
 		HeadInterval:     500 * time.Millisecond,
 		ExchangeInterval: 250 * time.Millisecond,
+		CalmInterval:     time.Second,
 		ProbeInterval:    250 * time.Millisecond,
 		ProbeTimeout:     600 * time.Millisecond,
 		PromoteTimeout:   3 * time.Second,
@@ -112,6 +116,7 @@
 	voucher bbrauthority.Voucher
 
 	policies map[bbrtype.GroupName]bbrfailover.Policy
+	leastAge time.Duration
 	version  uint64
 	groups   map[bbrtype.GroupName]*groupControl
 	members  map[bbrmember.Ref]*memberControl
@@ -179,6 +184,11 @@
 	probeAt      bbrtype.Mono
 	suspectUntil bbrtype.Mono
 	followAt     bbrtype.Mono
+	// badAt is when the member first failed to answer after it had.
+	badAt bbrtype.Mono
+	// told is the newest state that a peer has read, as of toldAt.
+	told   *bbrmember.State
+	toldAt bbrtype.Mono
 }
 
 // peer is what an instance keeps about another one.
@@ -189,7 +199,7 @@
 	version  uint64
 	leaving  bool
 	joining  bool
-	heard    []bbrtype.InstanceID
+	silent   []bbrtype.InstanceID
 	reports  map[bbrmember.Ref]Report
 	reported bbrtype.Mono
 	// busy is set while an exchange is under way; again asks for another one.
@@ -232,7 +242,10 @@
 }
 
 // SetVersion tells which configuration the instance has in force.
-func (c *Control) SetVersion(v uint64) { c.version = v }
+func (c *Control) SetVersion(v uint64) {
+	c.version = v
+	c.exchangeNow()
+}
 
 // VersionOf returns the configuration that a peer has in force and whether the
 // peer was heard lately.
@@ -315,7 +328,7 @@
 	case ConfigureAbandoned:
 		c.abandon(e.ID)
 	case PoliciesChanged:
-		c.policies = e.Policies
+		c.policies, c.leastAge = e.Policies, e.LeastAge
 	case LeaveRequested:
 		c.leaving = true
 		c.urgent = true
--- a/bbrcontrol/control_test.go
+++ b/bbrcontrol/control_test.go
@@ -58,7 +58,7 @@
 
 // hear lets a peer tell how far it has applied the journal.
 func hear(c *Control, now bbrtype.Mono, id bbrtype.InstanceID, applied bbrtype.Index, reports ...Report) {
-	c.HandleExchange(now, Message{From: bbrjournal.Instance{ID: id, Address: string(id)}, Applied: applied, Reports: reports, Heard: []bbrtype.InstanceID{"a", "b", "c"}})
+	c.HandleExchange(now, Message{From: bbrjournal.Instance{ID: id, Address: string(id)}, Applied: applied, Reports: reports})
 }
 
 func TestAuthorityNeedsAReadThatShowsNothingUnknown(t *testing.T) {
--- a/bbrcontrol/event.go
+++ b/bbrcontrol/event.go
@@ -1,6 +1,8 @@
 package bbrcontrol
 
 import (
+	"time"
+
 	"github.com/bluebellroute/bluebellroute/bbrfailover"
 	"github.com/bluebellroute/bluebellroute/bbrjournal"
 	"github.com/bluebellroute/bluebellroute/bbrmember"
@@ -113,6 +115,8 @@
 // PoliciesChanged gives the groups' policies of the configuration in force.
 type PoliciesChanged struct {
 	Policies map[bbrtype.GroupName]bbrfailover.Policy
+	// LeastAge is the lowest age of data that a read policy asks for.
+	LeastAge time.Duration
 }
 
 // LeaveRequested starts a planned stop: the instance gives up its steward's
--- a/bbrcontrol/exchange.go
+++ b/bbrcontrol/exchange.go
@@ -40,7 +40,11 @@
 
 // planExchange sends messages that are due.
 func (c *Control) planExchange(now bbrtype.Mono) {
-	due := now.Sub(c.exchangeAt) >= c.opts.ExchangeInterval
+	calm, interval := c.isCalm(now), c.opts.ExchangeInterval
+	if calm {
+		interval = c.calmInterval()
+	}
+	due := now.Sub(c.exchangeAt) >= interval
 	if due {
 		c.exchangeAt = now
 	}
@@ -53,8 +57,11 @@
 			p.again = p.again || due
 			continue
 		}
-		p.busy, p.again = true, false
 		m := c.message(now, p)
+		if calm && !p.again {
+			m.Calm, m.Reports = true, nil
+		}
+		p.busy, p.again = true, false
 		m.WantVouch = c.state.IsSteward(i.ID) && c.holder.NeedsVouch(now)
 		c.do(Exchange{To: i, Message: m})
 	}
@@ -96,8 +103,8 @@
 		Leaving:  c.leaving,
 		Version:  c.version,
 		Reports:  c.reports(now),
-		Heard:    c.heard(now),
-		Suspects: c.suspects(),
+		Silent:   c.silent(now),
+		Suspects: c.suspects(now),
 		Wishes:   c.freshWishes(now),
 	}
 	if p != nil && p.heardAt != 0 && p.applied < c.state.Applied {
@@ -116,11 +123,11 @@
 	return c.recent[i:min(i+recordsPerMessage, len(c.recent))], nil
 }
 
-// heard lists the instances heard lately.
-func (c *Control) heard(now bbrtype.Mono) []bbrtype.InstanceID {
+// silent lists the instances that were not heard lately.
+func (c *Control) silent(now bbrtype.Mono) []bbrtype.InstanceID {
 	var out []bbrtype.InstanceID
-	for id, p := range c.peers {
-		if p.heardAt != 0 && now.Sub(p.heardAt) <= c.opts.Silence {
+	for id := range c.state.Instances {
+		if id != c.opts.Self.ID && !c.hears(now, c.peers[id]) {
 			out = append(out, id)
 		}
 	}
@@ -128,6 +135,11 @@
 	return out
 }
 
+// hears reports whether a peer was heard lately.
+func (c *Control) hears(now bbrtype.Mono, p *peer) bool {
+	return p != nil && p.heardAt != 0 && now.Sub(p.heardAt) <= c.opts.Silence
+}
+
 func (c *Control) freshWishes(now bbrtype.Mono) []Wish {
 	var out []Wish
 	for w, at := range c.wishes {
@@ -200,8 +212,10 @@
 	p.version = m.Version
 	p.leaving = m.Leaving
 	p.joining = m.Joining
-	p.heard = m.Heard
-	c.takeReports(now, p, m.Reports, askedAt)
+	p.silent = m.Silent
+	if !m.Calm {
+		c.takeReports(now, p, m.Reports, askedAt)
+	}
 	for _, ref := range m.Suspects {
 		c.suspect(now, ref)
 	}
@@ -239,10 +253,10 @@
 		if other == id || now.Sub(q.heardAt) > c.opts.Silence {
 			continue
 		}
-		if slices.Contains(q.heard, id) {
-			hearing++
-		} else {
+		if slices.Contains(q.silent, id) {
 			silent++
+		} else {
+			hearing++
 		}
 	}
 	return hearing < silent
--- a/bbrcontrol/member.go
+++ b/bbrcontrol/member.go
@@ -22,6 +22,21 @@
 	return m
 }
 
+// tell keeps a state that a peer has read.
+func (m *memberControl) tell(st *bbrmember.State, asOf bbrtype.Mono) {
+	if asOf > m.toldAt {
+		m.told, m.toldAt = st, asOf
+	}
+}
+
+// newest returns the newest state that this instance knows of, and its time.
+func (m *memberControl) newest() (*bbrmember.State, bbrtype.Mono) {
+	if m.told != nil && m.toldAt > m.stateAt {
+		return m.told, m.toldAt
+	}
+	return m.state, m.stateAt
+}
+
 // suspect makes the instance probe a member for a while.
 func (c *Control) suspect(now bbrtype.Mono, ref bbrmember.Ref) {
 	g := c.state.Groups[ref.Group]
@@ -83,7 +98,7 @@
 }
 
 func (c *Control) probeIfDue(now bbrtype.Mono, ref bbrmember.Ref) {
-	if m := c.memberOf(ref); !m.probing && now.Sub(m.probeAt) >= c.opts.ProbeInterval {
+	if m := c.memberOf(ref); !m.probing && now.Sub(m.probeAt) >= c.probeInterval(now, m, c.isPrimary(ref)) {
 		c.probe(now, ref)
 	}
 }
@@ -140,6 +155,9 @@
 	if e.Probed {
 		m.probing = false
 	}
+	if m.health.Kind == bbrmember.FailureNone {
+		m.badAt = now
+	}
 	m.health.Bad(now, e.SentAt, e.Kind)
 	if e.Probed && e.Kind == bbrmember.FailureRefused {
 		c.stepChange(now, e.Ref.Group, bbrfailover.MemberUnreadable{Member: e.Ref.Member})
@@ -196,6 +214,7 @@
 			l := Learned{Ref: r.Ref, State: *r.State}
 			if askedAt != 0 {
 				l.AsOf = askedAt.Add(-r.StateAge)
+				c.memberOf(r.Ref).tell(r.State, l.AsOf)
 			}
 			c.do(l)
 		}
@@ -205,11 +224,11 @@
 	}
 }
 
-// suspects are the primaries that peers are asked to probe.
-func (c *Control) suspects() []bbrmember.Ref {
-	if !c.state.IsSteward(c.opts.Self.ID) {
-		return nil
-	}
+// suspects are the primaries that peers are asked to probe, so that all begin at
+// about the same time. An instance that is no steward asks for a short time only:
+// if it goes on failing alone, the trouble is its own.
+func (c *Control) suspects(now bbrtype.Mono) []bbrmember.Ref {
+	steward := c.state.IsSteward(c.opts.Self.ID)
 	var out []bbrmember.Ref
 	for _, name := range c.state.GroupNames() {
 		l, ok := c.state.Groups[name].Primary()
@@ -217,7 +236,8 @@
 			continue
 		}
 		ref := bbrmember.Ref{Group: name, Member: l.Member}
-		if m := c.members[ref]; m != nil && m.health.Kind != bbrmember.FailureNone {
+		m := c.members[ref]
+		if m != nil && m.health.Kind != bbrmember.FailureNone && (steward || now.Sub(m.badAt) <= c.opts.Silence) {
 			out = append(out, ref)
 		}
 	}
@@ -227,8 +247,9 @@
 // othersOf returns the fresh opinions of the peers about a member.
 func (c *Control) othersOf(now bbrtype.Mono, ref bbrmember.Ref) []bbrfailover.Opinion {
 	var out []bbrfailover.Opinion
+	limit := c.reportLimit(now)
 	for id, p := range c.peers {
-		if _, member := c.state.Instances[id]; !member || now.Sub(p.reported) > c.opts.Fresh {
+		if _, member := c.state.Instances[id]; !member || now.Sub(p.reported) > limit {
 			continue
 		}
 		if r, ok := p.reports[ref]; ok {
--- a/bbrcontrol/message.go
+++ b/bbrcontrol/message.go
@@ -28,8 +28,11 @@
 	// Snapshot is set where the receiver lacks more than Records can hold.
 	Snapshot *bbrjournal.State `json:"snapshot,omitempty"`
 	Reports  []Report          `json:"reports,omitempty"`
-	// Heard are the instances that the sender has heard from lately.
-	Heard []bbrtype.InstanceID `json:"heard,omitempty"`
+	// Calm is set in a request that leaves the reports out, because nothing is
+	// going on. Replies always have them.
+	Calm bool `json:"calm,omitempty"`
+	// Silent are the instances that the sender has not heard from lately.
+	Silent []bbrtype.InstanceID `json:"silent,omitempty"`
 	// Suspects are members that the receiver is asked to probe at once.
 	Suspects []bbrmember.Ref `json:"suspects,omitempty"`
 	// Wishes are primaries that a pending configuration takes away.
--- a/bbrinstance/body.go
+++ b/bbrinstance/body.go
@@ -105,7 +105,7 @@
 	b.i.mu.Lock()
 	b.i.control.SetVersion(want.Version)
 	b.i.mu.Unlock()
-	b.i.step(bbrcontrol.PoliciesChanged{Policies: cfg.FailoverPolicies()})
+	b.i.step(bbrcontrol.PoliciesChanged{Policies: cfg.FailoverPolicies(), LeastAge: cfg.LeastAge()})
 	b.i.quota.wake()
 	log.WithField("groups", len(cfg.Groups)).Info("configuration in force")
 	return true
--- a/bbrpeer/convert.go
+++ b/bbrpeer/convert.go
@@ -29,7 +29,7 @@
 			Id: string(m.From.ID), Name: m.From.Name, Address: m.From.Address, DataCentre: string(m.From.DataCentre),
 		},
 		Applied: uint64(m.Applied), Joining: m.Joining, Leaving: m.Leaving, Version: m.Version,
-		WantVouch: m.WantVouch, Vouched: m.Vouched,
+		WantVouch: m.WantVouch, Vouched: m.Vouched, Calm: m.Calm,
 	}
 	for _, r := range m.Records {
 		b, err := json.Marshal(r)
@@ -48,8 +48,8 @@
 	for _, r := range m.Reports {
 		out.Reports = append(out.Reports, reportToProto(r))
 	}
-	for _, id := range m.Heard {
-		out.Heard = append(out.Heard, string(id))
+	for _, id := range m.Silent {
+		out.Silent = append(out.Silent, string(id))
 	}
 	for _, s := range m.Suspects {
 		out.Suspects = append(out.Suspects, refToProto(s))
@@ -81,7 +81,7 @@
 			DataCentre: bbrtype.DataCentre(from.GetDataCentre()),
 		},
 		Applied: bbrtype.Index(m.GetApplied()), Joining: m.GetJoining(), Leaving: m.GetLeaving(), Version: m.GetVersion(),
-		WantVouch: m.GetWantVouch(), Vouched: m.GetVouched(),
+		WantVouch: m.GetWantVouch(), Vouched: m.GetVouched(), Calm: m.GetCalm(),
 	}
 	if out.From.ID == "" {
 		return out, errors.New("the message has no sender")
@@ -102,8 +102,8 @@
 	for _, r := range m.GetReports() {
 		out.Reports = append(out.Reports, reportFromProto(r))
 	}
-	for _, id := range m.GetHeard() {
-		out.Heard = append(out.Heard, bbrtype.InstanceID(id))
+	for _, id := range m.GetSilent() {
+		out.Silent = append(out.Silent, bbrtype.InstanceID(id))
 	}
 	for _, s := range m.GetSuspects() {
 		out.Suspects = append(out.Suspects, refFromProto(s))
--- a/bbrsettings/settings.go
+++ b/bbrsettings/settings.go
@@ -252,6 +252,7 @@
 	o.Authority.Holdover = r.Duration("holdover", bbrauthority.DefaultHoldover)
 	o.HeadInterval = r.Duration("headInterval", o.HeadInterval)
 	o.ExchangeInterval = r.Duration("exchangeInterval", o.ExchangeInterval)
+	o.CalmInterval = r.Duration("calmInterval", o.CalmInterval)
 	o.ProbeInterval = r.Duration("probeInterval", o.ProbeInterval)
 	o.ProbeTimeout = r.Duration("probeTimeout", o.ProbeTimeout)
 	o.Limits.Refused = r.Duration("refusedAfter", o.Limits.Refused)
