Give back the connections of probes that ended

Cause: an instance that probed a member only while it was suspected kept its connection for good. After one false alarm every instance held one to the primary, eight where three are set aside.

Change: a connection that no probe has used for 3 s is closed.

Ruled out: closing after each probe of a suspected member (a probe then costs a new connection, 10 ms).

--- a/bbrinstance/instance.go
+++ b/bbrinstance/instance.go
@@ -174,6 +174,7 @@
 	i.every(tickEvery, func() { i.step(bbrcontrol.Tick{}) })
 	i.every(metricsEvery, i.reportMetrics)
 	i.every(listEvery, i.readList)
+	i.every(keepProbe, i.probers.sweep)
 	i.deps.Group.Go(func() error {
 		i.readList()
 		i.carryOut(bbrcontrol.LoadSnapshot{})
@@ -473,30 +474,6 @@
 	f(i.control, i.deps.Clock.Now())
 }
 
-// reportMetrics sets the gauges.
-func (i *Instance) reportMetrics() {
-	v := i.deps.Registry.View()
-	now := i.deps.Clock.Now()
-	i.deps.Metrics.Control(v.Until.Sub(now), v.State.Applied, v.Version)
-	for _, g := range i.deps.Registry.Groups() {
-		jg := v.Group(g.Name)
-		for _, p := range g.Pools() {
-			m := p.Ref().Member
-			st := p.Stats()
-			i.deps.Metrics.Member(g.Name, m, "openConnections", float64(st.Open))
-			i.deps.Metrics.Member(g.Name, m, "grantedConnections", float64(st.Granted))
-			i.deps.Metrics.Member(g.Name, m, "waiting", float64(st.Waiting))
-			i.deps.Metrics.Member(g.Name, m, "statementLimit", float64(st.Limit))
-			i.deps.Metrics.Member(g.Name, m, "lagSeconds", g.Tracker.LagOf(m).Seconds())
-			if jg != nil {
-				if age, ok := g.Tracker.AgeOf(now, jg, m); ok {
-					i.deps.Metrics.Member(g.Name, m, "ageSeconds", age.Seconds())
-				}
-			}
-		}
-	}
-}
-
 // View returns what the instance knows now.
 func (i *Instance) View() *bbrgroup.View { return i.deps.Registry.View() }
 
--- a/bbrinstance/member.go
+++ b/bbrinstance/member.go
@@ -23,41 +23,65 @@
 	i *Instance
 
 	mu    sync.Mutex
-	conns map[bbrmember.Ref]*bbrpool.Conn
+	conns map[bbrmember.Ref]keptConn
 }
 
+// keptConn is a connection that waits for the next probe.
+type keptConn struct {
+	conn *bbrpool.Conn
+	at   bbrtype.Mono
+}
+
+// keepProbe is how long a connection waits for the next probe. Members that were
+// probed only while they were suspected get their connections back then.
+const keepProbe = 3 * time.Second
+
 func newProbers(i *Instance) *probers {
-	return &probers{i: i, conns: map[bbrmember.Ref]*bbrpool.Conn{}}
+	return &probers{i: i, conns: map[bbrmember.Ref]keptConn{}}
+}
+
+// sweep closes the connections that no probe has used for long.
+func (p *probers) sweep() {
+	now := p.i.deps.Clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for ref, k := range p.conns {
+		if now.Sub(k.at) > keepProbe {
+			k.conn.Close()
+			delete(p.conns, ref)
+		}
+	}
 }
 
 // take returns the connection kept for a member, if there is one.
 func (p *probers) take(ref bbrmember.Ref) *bbrpool.Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c := p.conns[ref]
+	k := p.conns[ref]
 	delete(p.conns, ref)
-	return c
+	return k.conn
 }
 
 // keep puts a connection back.
 func (p *probers) keep(ref bbrmember.Ref, c *bbrpool.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if old := p.conns[ref]; old != nil {
-		old.Close()
+	if old, ok := p.conns[ref]; ok {
+		old.conn.Close()
+		delete(p.conns, ref)
 	}
 	if p.i.ctx.Err() != nil {
 		c.Close()
 		return
 	}
-	p.conns[ref] = c
+	p.conns[ref] = keptConn{conn: c, at: p.i.deps.Clock.Now()}
 }
 
 func (p *probers) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for ref, c := range p.conns {
-		c.Close()
+	for ref, k := range p.conns {
+		k.conn.Close()
 		delete(p.conns, ref)
 	}
 }
