Send reports without what both sides know

Cause: with calm times, reports are what grows: 45 bytes for each member in each reply, half of them names and the word for an opinion.

Change: reports about members of a group name it once, an opinion is a flag that is absent for a member that answers, what was received is sent as the distance to the position, ages in milliseconds, rounded up.

--- a/bbrpeer/convert.go
+++ b/bbrpeer/convert.go
@@ -45,9 +45,7 @@
 		}
 		out.Snapshot = b
 	}
-	for _, r := range m.Reports {
-		out.Reports = append(out.Reports, reportToProto(r))
-	}
+	out.Reports = reportsToProto(m.Reports)
 	for _, id := range m.Silent {
 		out.Silent = append(out.Silent, string(id))
 	}
@@ -60,14 +58,28 @@
 	return out, nil
 }
 
-func reportToProto(r bbrcontrol.Report) *peerpb.Report {
-	out := &peerpb.Report{Ref: refToProto(r.Ref), Opinion: string(r.Opinion)}
-	if r.State != nil {
+// reportsToProto joins the reports about members of the same group, which stand
+// one after the other, so that its name is sent once.
+func reportsToProto(reports []bbrcontrol.Report) []*peerpb.Report {
+	var out []*peerpb.Report
+	for _, r := range reports {
+		if n := len(out); n == 0 || out[n-1].Group != string(r.Ref.Group) {
+			out = append(out, &peerpb.Report{Group: string(r.Ref.Group)})
+		}
+		last := out[len(out)-1]
+		last.Members = append(last.Members, reportToProto(r))
+	}
+	return out
+}
+
+func reportToProto(r bbrcontrol.Report) *peerpb.MemberReport {
+	out := &peerpb.MemberReport{Member: string(r.Ref.Member), Failing: r.Opinion == bbrfailover.OpinionFailing}
+	if st := r.State; st != nil {
 		out.State = &peerpb.MemberState{
-			Primary: r.State.Primary, Position: uint64(r.State.Position),
-			Received: uint64(r.State.Received), History: uint64(r.State.History),
+			Primary: st.Primary, Position: uint64(st.Position), History: uint64(st.History),
+			ReceivedAhead: uint64(max(st.Received, st.Position) - st.Position),
 		}
-		out.StateAgeUs = uint64(max(0, r.StateAge.Microseconds()))
+		out.StateAgeMs = uint64(max(0, (r.StateAge + time.Millisecond - 1).Milliseconds()))
 	}
 	return out
 }
@@ -100,7 +112,9 @@
 		}
 	}
 	for _, r := range m.GetReports() {
-		out.Reports = append(out.Reports, reportFromProto(r))
+		for _, member := range r.GetMembers() {
+			out.Reports = append(out.Reports, reportFromProto(r.GetGroup(), member))
+		}
 	}
 	for _, id := range m.GetSilent() {
 		out.Silent = append(out.Silent, bbrtype.InstanceID(id))
@@ -116,14 +130,20 @@
 	return out, nil
 }
 
-func reportFromProto(r *peerpb.Report) bbrcontrol.Report {
-	out := bbrcontrol.Report{Ref: refFromProto(r.GetRef()), Opinion: bbrfailover.Opinion(r.GetOpinion())}
+func reportFromProto(group string, r *peerpb.MemberReport) bbrcontrol.Report {
+	out := bbrcontrol.Report{
+		Ref:     bbrmember.Ref{Group: bbrtype.GroupName(group), Member: bbrtype.MemberName(r.GetMember())},
+		Opinion: bbrfailover.OpinionAnswering,
+	}
+	if r.GetFailing() {
+		out.Opinion = bbrfailover.OpinionFailing
+	}
 	if st := r.GetState(); st != nil {
 		out.State = &bbrmember.State{
 			Primary: st.GetPrimary(), Position: bbrtype.Position(st.GetPosition()),
-			Received: bbrtype.Position(st.GetReceived()), History: bbrtype.History(st.GetHistory()),
+			Received: bbrtype.Position(st.GetPosition() + st.GetReceivedAhead()), History: bbrtype.History(st.GetHistory()),
 		}
-		out.StateAge = time.Duration(r.GetStateAgeUs()) * time.Microsecond
+		out.StateAge = time.Duration(r.GetStateAgeMs()) * time.Millisecond
 	}
 	return out
 }
