Go on accepting callers after a want of descriptors

Cause: an error of accept, such as EMFILE, ended the serving of callers while the process lived on, healthy by all other signs.

Change: such errors are logged, and accepting goes on after 50 ms. Only a closed listener ends it.

Ruled out: ending the process (it would cut off the callers that are served).

Measured: the test gives two errors and then closes; before, the first one ended Serve.

--- a/bbrproxy/server.go
+++ b/bbrproxy/server.go
@@ -157,7 +157,12 @@
 	}, nil
 }
 
-// Serve accepts callers until the listener is closed.
+// acceptPause is the wait after a caller could not be accepted, such as for want
+// of file descriptors.
+const acceptPause = 50 * time.Millisecond
+
+// Serve accepts callers until the listener is closed. Other errors pass: callers
+// who leave make room for new ones.
 func (s *Server) Serve(l net.Listener) error {
 	s.mu.Lock()
 	s.listeners = append(s.listeners, l)
@@ -168,7 +173,9 @@
 			if s.draining.Load() || errors.Is(err, net.ErrClosed) {
 				return nil
 			}
-			return errors.Wrap(err, "accept a caller")
+			s.deps.Log.WithError(err).Warn("caller not accepted")
+			time.Sleep(acceptPause)
+			continue
 		}
 		s.group.Go(func() error {
 			s.serveConn(conn)
