Count waiting statements as load of a replica

Cause: beside a noisy tenant one replica of a group had 23 statements waiting at an instance and the other one none. The choice between them weighed the statements at work only, which the limiter keeps equal.

Change: statements that wait for a connection count as those at work do. The test was red before.

Ruled out: the queues themselves (they are fair between tenants).

--- a/bbrproxy/read.go
+++ b/bbrproxy/read.go
@@ -285,7 +285,9 @@
 // acquire takes a connection and turns the pool's errors into the caller's.
 func (c *session) acquire(r *request, pool *bbrpool.Pool) (*bbrpool.Conn, error) {
 	before := c.srv.deps.Clock.Now()
+	r.group.Tracker.Waiting(pool.Ref().Member, 1)
 	conn, err := pool.Acquire(c.srv.ctx, r.ticket())
+	r.group.Tracker.Waiting(pool.Ref().Member, -1)
 	c.srv.series.of(c.srv.deps.Metrics, c.tenant, r.class).Queued(c.srv.deps.Clock.Now().Sub(before))
 	switch {
 	case err == nil:
--- a/bbrroute/route.go
+++ b/bbrroute/route.go
@@ -87,11 +87,13 @@
 
 // track is what is known of one member.
 type track struct {
-	state      bbrmember.State
-	known      bool
-	lag        time.Duration
-	latency    time.Duration
+	state   bbrmember.State
+	known   bool
+	lag     time.Duration
+	latency time.Duration
+	// inFlight are the statements at work, waiting those before them.
 	inFlight   int
+	waiting    int
 	avoidUntil bbrtype.Mono
 	// eligibleAt is when the member was last eligible, rampFrom when it
 	// became so again.
@@ -193,6 +195,14 @@
 	t.of(m).known = false
 }
 
+// Waiting changes the number of statements that wait for a connection to a
+// member.
+func (t *Tracker) Waiting(m bbrtype.MemberName, by int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.of(m).waiting += by
+}
+
 // Started counts a statement sent to a member.
 func (t *Tracker) Started(m bbrtype.MemberName) {
 	t.mu.Lock()
@@ -359,7 +369,7 @@
 	if latency == 0 {
 		latency = defaultLatency
 	}
-	c := float64(latency) * float64(tr.inFlight+1)
+	c := float64(latency) * float64(tr.inFlight+tr.waiting+1)
 	if t.near != nil && !t.near[m] {
 		c *= farPenalty
 	}
--- a/bbrroute/route_test.go
+++ b/bbrroute/route_test.go
@@ -127,6 +127,29 @@
 	}
 }
 
+// Statements that wait for a connection are load as well as those at work.
+func TestWaitingStatementsAreLoad(t *testing.T) {
+	is := is.New(t)
+	g := group()
+	tr := tracked(g)
+	tr.Observe(g, "m2", replica(2, 200), at(1000), true)
+	tr.Observe(g, "m3", replica(2, 200), at(1000), true)
+	for i := range 8 {
+		tr.Choose(at(1000+500*i), g, Request{MaxAge: time.Hour})
+	}
+	tr.Started("m2")
+	tr.Started("m3")
+	tr.Waiting("m2", 5)
+	for range 10 {
+		is.Equal(tr.Choose(at(5000), g, Request{MaxAge: time.Hour}).Member, bbrtype.MemberName("m3"))
+	}
+	tr.Waiting("m2", -5)
+	tr.Waiting("m3", 5)
+	for range 10 {
+		is.Equal(tr.Choose(at(5000), g, Request{MaxAge: time.Hour}).Member, bbrtype.MemberName("m2"))
+	}
+}
+
 func TestAReplicaThatComesBackRampsUp(t *testing.T) {
 	is := is.New(t)
 	g := group()
