Estimate a replica's lag between two samples of the primary

The usual lag, which decides whether a read waits for a replica, was measured from the last sample before the replica's position. The rarer the samples, the longer it seemed; past catchUpWait the read went to the primary at once.

Change: the lag is estimated between the two samples around the position, and not at all while none lies past it. The age of data is still measured from the earlier one, which is a bound. The test (50 ms of lag, samples each 20, 250 and 1000 ms) was red for the latter two.

Ruled out: the time in the queues; waking too late (a look at the replica runs each millisecond while somebody waits).

--- a/bbrroute/route.go
+++ b/bbrroute/route.go
@@ -161,8 +161,8 @@
 		return
 	}
 	if shared, ok := g.Shared(st.History, st.Position); ok && asOf != 0 {
-		if covered, ok := t.samples.coveredAt(shared); ok {
-			lag := max(0, asOf.Sub(covered))
+		if passed, ok := t.samples.passedAbout(shared); ok {
+			lag := max(0, asOf.Sub(passed))
 			tr.lag += time.Duration(smoothing * float64(lag-tr.lag))
 		}
 	}
--- a/bbrroute/route_test.go
+++ b/bbrroute/route_test.go
@@ -199,3 +199,28 @@
 		}
 	})
 }
+
+// The usual lag decides whether a read waits for a replica. Few samples of the
+// primary must not make a replica look slower than it is.
+func TestFewSamplesDoNotOverstateTheLag(t *testing.T) {
+	const lag = 50
+	cases := map[string]int{"many samples": 20, "few": 250, "very few": 1000}
+	for name, every := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g := group()
+			tr := NewTracker(func() uint64 { return 0 })
+			for ms := 0; ms < 20000; ms += 10 { // the primary writes a byte each millisecond
+				if ms%every == 0 {
+					tr.Observe(g, "m1", bbrmember.State{Primary: true, History: 2, Position: bbrtype.Position(100 + ms)}, at(ms), true)
+				}
+				if ms >= lag && ms%70 == 0 {
+					tr.Observe(g, "m2", replica(2, bbrtype.Position(100+ms-lag)), at(ms), true)
+				}
+			}
+			got := tr.LagOf("m2").Milliseconds()
+			is.True(got >= lag/2)
+			is.True(got <= 3*lag/2)
+		})
+	}
+}
--- a/bbrroute/samples.go
+++ b/bbrroute/samples.go
@@ -54,5 +54,18 @@
 	return s.list[i-1].At, true
 }
 
+// passedAbout estimates when the primary passed p, between the two samples around
+// it. It is no bound: only coveredAt tells how old data may be. ok is false while
+// no sample lies past p.
+func (s *samples) passedAbout(p bbrtype.Position) (at bbrtype.Mono, ok bool) {
+	i := sort.Search(len(s.list), func(i int) bool { return s.list[i].Position > p })
+	if i == 0 || i == len(s.list) {
+		return 0, false
+	}
+	before, after := s.list[i-1], s.list[i]
+	part := float64(p-before.Position) / float64(after.Position-before.Position)
+	return before.At.Add(time.Duration(part * float64(after.At.Sub(before.At)))), true
+}
+
 // reset forgets all samples: they belong to another history.
 func (s *samples) reset() { s.list = s.list[:0] }
