Suspect all of a group's connections when one is silent

Cause: a read whose connection had gone silent was sent to the next member, whose connection was silent too, and found that out by waiting again: up to three times 1.2 s.

Change: the idle connections to all members of the group are closed, and those in use are looked at now.

Ruled out: the same for all groups (they find out at the same time by themselves).

--- a/bbrgroup/group.go
+++ b/bbrgroup/group.go
@@ -83,6 +83,16 @@
 	return out
 }
 
+// Suspect is called when a connection to a member was found silent. Whatever lost
+// track of it may have lost track of those to the other members as well, and a
+// read that is sent to them next must not find out by waiting again.
+func (g *Group) Suspect() {
+	for _, p := range g.Pools() {
+		p.Suspect()
+		p.Interrupt()
+	}
+}
+
 // Observe takes a member's state as read after a request sent at asOf, 0 if
 // unknown.
 func (g *Group) Observe(m bbrtype.MemberName, st bbrmember.State, asOf bbrtype.Mono) {
--- a/bbrgroup/group_test.go
+++ b/bbrgroup/group_test.go
@@ -11,6 +11,8 @@
 	"github.com/bluebellroute/bluebellroute/bbrconfig"
 	"github.com/bluebellroute/bluebellroute/bbrjournal"
 	"github.com/bluebellroute/bluebellroute/bbrmember"
+	"github.com/bluebellroute/bluebellroute/bbrpool"
+	"github.com/bluebellroute/bluebellroute/bbrstandindb"
 	"github.com/bluebellroute/bluebellroute/bbrtype"
 )
 
@@ -64,3 +66,33 @@
 	is.True(<-moved)
 	is.NoErr(group.Wait())
 }
+
+func TestSuspicionCoversAllMembers(t *testing.T) {
+	is := is.New(t)
+	clock := bbrtype.NewClock()
+	r := NewRegistry(Deps{Clock: clock, Group: &errgroup.Group{}, DataCentre: "derby"})
+	defer r.Close()
+	members := map[bbrtype.MemberName]bbrconfig.Member{}
+	for name, primary := range map[bbrtype.MemberName]bool{"m1": true, "m2": false, "m3": false} {
+		m, err := bbrstandindb.ListenCanned("127.0.0.1:0", primary)
+		is.NoErr(err)
+		defer m.Close()
+		members[name] = bbrconfig.Member{Group: testGroup, Name: name, Address: m.Addr()}
+	}
+	r.SetConfig(&bbrconfig.Config{Groups: map[bbrtype.GroupName]*bbrconfig.Group{testGroup: {
+		Name: testGroup, Database: "d", User: "u", Slots: 1, Members: members,
+	}}}, 1, "hash")
+	g, _ := r.Group(testGroup)
+	later := clock.Now().Add(time.Minute)
+	for _, p := range g.Pools() {
+		p.Grant(1, later)
+		c, err := p.Acquire(context.Background(), bbrpool.Ticket{Queue: 1, Deadline: later})
+		is.NoErr(err)
+		p.Release(c, 0)
+		is.Equal(p.Stats().Idle, 1)
+	}
+	g.Suspect()
+	for _, p := range g.Pools() {
+		is.Equal(p.Stats().Idle, 0)
+	}
+}
