Leave what traffic shows out of calm messages

Cause: a report goes out for each member that answered within a second. Where all databases of a cell are in use at all its instances, that is 57 members in place of the 21 that an instance probes: by the slope of 73 B/s a peer and member, 29 KB/s for peers alone.

Change: while nothing is going on, an instance reports the members that it probes and those that fail. Once something is going on, it reports all.

Ruled out: leaving it out at all times (an instance that reaches a primary by traffic alone must be able to hold back a change).

--- a/bbrcontrol/calm_test.go
+++ b/bbrcontrol/calm_test.go
@@ -130,3 +130,15 @@
 	reply, _ = c.HandleExchange(later, Message{From: bbrjournal.Instance{ID: "b"}, Applied: c.State().Applied})
 	is.Equal(len(reply.Suspects), 0) // alone for long: its own trouble
 }
+
+// With many members in use, what traffic shows would fill the messages.
+func TestCalmReportsLeaveTrafficOut(t *testing.T) {
+	is := is.New(t)
+	c, now := calmSteward(t)
+	c.opts.ProbersPerMember, c.probedAt = 0, 0
+	c.Step(now, Tick{})
+	is.Equal(len(c.reports(now)), 0)
+	c.Step(now, MemberFailed{Ref: bbrmember.Ref{Group: "g", Member: "m2"}, Kind: bbrmember.FailureRefused})
+	c.suspect(now, primaryRef)
+	is.Equal(len(c.reports(now)), 1) // something goes on: the primary answers, by traffic
+}
--- a/bbrcontrol/member.go
+++ b/bbrcontrol/member.go
@@ -90,6 +90,7 @@
 			}
 		}
 	}
+	slices.SortFunc(c.probed, bbrmember.Compare)
 	for ref := range c.members {
 		if !c.hasMember(ref) {
 			delete(c.members, ref)
@@ -97,6 +98,12 @@
 	}
 }
 
+// isProbed reports whether this instance is responsible for probing a member.
+func (c *Control) isProbed(ref bbrmember.Ref) bool {
+	_, found := slices.BinarySearchFunc(c.probed, ref, bbrmember.Compare)
+	return found
+}
+
 func (c *Control) probeIfDue(now bbrtype.Mono, ref bbrmember.Ref) {
 	if m := c.memberOf(ref); !m.probing && now.Sub(m.probeAt) >= c.probeInterval(now, m, c.isPrimary(ref)) {
 		c.probe(now, ref)
@@ -183,12 +190,14 @@
 }
 
 // reports tell the peers about the members that this instance has fresh
-// experience with.
+// experience with. In calm times that of its traffic is left out: the members'
+// probers tell the same.
 func (c *Control) reports(now bbrtype.Mono) []Report {
 	var out []Report
+	calm := c.isCalm(now)
 	for ref, m := range c.members {
 		o := c.opinion(now, ref)
-		if o == bbrfailover.OpinionNone {
+		if o == bbrfailover.OpinionNone || calm && o == bbrfailover.OpinionAnswering && !c.isProbed(ref) {
 			continue
 		}
 		r := Report{Ref: ref, Opinion: o}
