Prove TLS with real processes

Cause: TLS between callers, instances and operators, and the reading of new certificates without a restart, were tried by hand only.

Change: a test starts two instances with certificates of one authority. Writes and reads go on between them; a caller in the clear, a stranger without a certificate and plain HTTP are turned away; a new certificate is shown to callers within seconds while sessions go on.

Ruled out: certificates from files in the tree (they run out).

--- a/bbrintegration/fleet_test.go
+++ b/bbrintegration/fleet_test.go
@@ -113,6 +113,8 @@
 	members   []*member
 	instances []*instance
 	version   uint64
+	// security is nil where everything goes in the clear.
+	security *security
 }
 
 // options change a fleet.
@@ -125,6 +127,7 @@
 	// settings are more settings of each instance.
 	settings string
 	lag      time.Duration
+	security *security
 }
 
 // newFleet starts a fleet and waits until it serves.
@@ -137,7 +140,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 4*deadline)
 	t.Cleanup(cancel)
 	f := &fleet{
-		t: t, ctx: ctx,
+		t: t, ctx: ctx, security: o.security,
 		toxics: toxiproxy.NewServer(toxiproxy.NewMetricsContainer(prometheus.NewRegistry()), zerolog.Nop()),
 	}
 	f.platform = bbrtesthelpers.Start(t, "platform", programs.standin, "platform")
@@ -288,7 +291,11 @@
 // command runs the command line of an operator.
 func (f *fleet) command(n int, args ...string) (string, int) {
 	f.t.Helper()
-	cmd := exec.Command(programs.proxy, append(args, "--control", f.instances[n].control())...)
+	args = append(args, "--control", f.instances[n].control())
+	if s := f.security; s != nil {
+		args = append(args, "--ca", s.authority.CA, "--cert", s.operatorCert, "--cert-key", s.operatorKey)
+	}
+	cmd := exec.Command(programs.proxy, args...)
 	cmd.Env = append(os.Environ(), "BLUEBELLROUTE_KEY="+adminKey)
 	b, err := cmd.CombinedOutput()
 	code := 0
@@ -339,18 +346,27 @@
 // status returns an instance's report.
 func (f *fleet) status(n int) (*bbrstatus.Report, error) {
 	var r bbrstatus.Report
-	return &r, get(f.ctx, "http://"+f.instances[n].control()+"/status.json", &r)
+	client, scheme := http.DefaultClient, "http://"
+	if f.security != nil {
+		client, scheme = f.security.client, "https://"
+	}
+	return &r, getBy(f.ctx, client, scheme+f.instances[n].control()+"/status.json", &r)
 }
 
 // get reads JSON.
 func get(ctx context.Context, target string, v any) error {
+	return getBy(ctx, http.DefaultClient, target, v)
+}
+
+// getBy reads JSON by a client.
+func getBy(ctx context.Context, client *http.Client, target string, v any) error {
 	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
 		return err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return err
 	}
@@ -466,6 +482,9 @@
 
 func (f *fleet) url(n int) string {
 	u := url.URL{Scheme: "postgres", User: url.UserPassword("shop", password), Host: f.instances[n].callers(), Path: "/orders", RawQuery: "sslmode=disable"}
+	if f.security != nil {
+		u.RawQuery = url.Values{"sslmode": {"verify-ca"}, "sslrootcert": {f.security.authority.CA}}.Encode()
+	}
 	return u.String()
 }
 
