--- a/bbrcapacity/capacity.go
+++ b/bbrcapacity/capacity.go
@@ -18,12 +18,14 @@
 // Axis names what a series of samples varies.
 type Axis string
 
-// The axes. AxisGrid varies instances and groups together.
+// The axes. AxisGrid varies instances and groups together, AxisCell has one fleet
+// of the planned cell's size under load.
 const (
 	AxisGrid       Axis = "grid"
 	AxisCallers    Axis = "callers"
 	AxisStatements Axis = "statements"
 	AxisChanges    Axis = "changes"
+	AxisCell       Axis = "cell"
 )
 
 // Size is the size of a fleet.
--- a/bbrcapacity/measure.go
+++ b/bbrcapacity/measure.go
@@ -22,6 +22,7 @@
 	callerSteps    = []int{0, 300, 900}
 	statementSteps = []float64{0, 200, 600}
 	changeSteps    = []float64{0, 0.5, 1.5}
+	cellStatements = 60.0
 	stateSteps     = []Document{{Instances: 8, Groups: 19}, {Instances: 80, Groups: 190}, {Instances: 800, Groups: 1900}}
 )
 
@@ -101,6 +102,10 @@
 		s.Changes = n
 		out = append(out, Sample{Axis: AxisChanges, Size: s})
 	}
+	cell := PlannedSize().CellSize()
+	out = append(out, Sample{Axis: AxisCell, Size: Size{
+		Instances: cell.Instances, Groups: cell.Groups, Members: cell.Members, StatementsEach: cellStatements,
+	}})
 	return out
 }
 
--- a/bbrcapacity/table.go
+++ b/bbrcapacity/table.go
@@ -5,6 +5,7 @@
 	"io"
 	"strings"
 
+	"github.com/pkg/errors"
 	"gonum.org/v1/gonum/stat"
 )
 
@@ -65,6 +66,7 @@
 		return err
 	}
 	t.axes(m)
+	t.underLoad(m)
 	t.documents("Journal state: copied once for each batch of records", m.States)
 	t.documents("Configuration: read once for each version", m.Configurations)
 	if err := t.predictions(m, p); err != nil {
@@ -133,6 +135,20 @@
 	}
 }
 
+// underLoad compares a cell whose databases are all in use with the grid's fit.
+func (t *table) underLoad(m *Measurement) {
+	t.head("A cell under load", "instances", "databases", "statements/s of an instance", "peers KB/s", "the same, idle, by the fit", "all KB/s", "worst instance")
+	for _, s := range m.on(AxisCell) {
+		f, err := fitGrid(m.on(AxisGrid), quantityOf("peerBytes"))
+		if err != nil {
+			t.err = err
+			return
+		}
+		t.line("| %d | %d | %.0f | %.2f | %.2f | %.2f | %.2f |", s.Size.Instances, s.Size.Groups, s.Size.StatementsEach,
+			s.Mean.PeerBytes/1000, f.at(s.Size)/1000, s.Mean.ControlBytes()/1000, s.Worst.ControlBytes()/1000)
+	}
+}
+
 func quantityOf(name string) quantity {
 	for _, q := range quantities {
 		if q.name == name {
@@ -143,7 +159,7 @@
 }
 
 func (t *table) documents(title string, list []Document) {
-	t.head(title, "instances", "databases", "bytes", "heap KB", "ms")
+	t.head(title, "instances", "databases", "bytes", "heap KB, beyond what is shared", "ms")
 	for _, d := range list {
 		t.line("| %d | %d | %d | %.0f | %.2f |", d.Instances, d.Groups, d.Bytes, d.HeapKB, d.TakeMs)
 	}
@@ -173,9 +189,20 @@
 	return nil
 }
 
-// store adds up what all nodes ask of the platform.
+// measuredCell returns the grid's fleet of a planned cell's size.
+func (m *Measurement) measuredCell(p Plan) (Spent, error) {
+	cell := p.CellSize()
+	for _, s := range m.on(AxisGrid) {
+		if s.Size.Instances == cell.Instances && s.Size.Groups == cell.Groups {
+			return s.Mean, nil
+		}
+	}
+	return Spent{}, errors.Errorf("no fleet of %d instances and %d databases was measured", cell.Instances, cell.Groups)
+}
+
+// store adds up what all nodes ask of the platform, by the measured cell.
 func (t *table) store(m *Measurement, p Plan) {
-	got, err := m.predict("", p.CellSize())
+	got, err := m.measuredCell(p)
 	if err != nil {
 		t.err = err
 		return
@@ -183,7 +210,7 @@
 	nodes := float64(p.Nodes)
 	entries := p.ReplacementsPerDay*2 + p.PrimariesPerDay*4 + p.ChangesPerDay*float64(p.Cells())
 	t.head("The platform's store, all cells together", "", "a second", "budget")
-	t.line("| table reads | %.0f | %.0f |", nodes*got.Spent.StoreReads, p.Budget.StoreReadsPerSecond)
-	t.line("| table writes, heartbeats of stewards | %.0f | %.0f |", nodes*got.Spent.StoreWrites, p.Budget.StoreWritesPerSecond)
+	t.line("| table reads | %.0f | %.0f |", nodes*got.StoreReads, p.Budget.StoreReadsPerSecond)
+	t.line("| table writes, heartbeats of stewards | %.0f | %.0f |", nodes*got.StoreWrites, p.Budget.StoreWritesPerSecond)
 	t.line("| table writes, journal records | %.2f | |", perSecond(entries))
 }
