Keep fleets that know each other's addresses apart

Two fleets with tables of their own and one list, as two cells may have, took over each other's journals: in the test an instance of another fleet applied foreign records, and was taken in.

Messages of an unknown instance that name another one are answered with the own name and nothing else. How old reports may be is worked out once a plan instead of for each member.

Ruled out: refusing by address (addresses change with every replacement).

--- a/bbrcontrol/control.go
+++ b/bbrcontrol/control.go
@@ -43,10 +43,12 @@
 
 	policies map[bbrtype.GroupName]bbrfailover.Policy
 	leastAge time.Duration
-	version  uint64
-	groups   map[bbrtype.GroupName]*groupControl
-	members  map[bbrmember.Ref]*memberControl
-	peers    map[bbrtype.InstanceID]*peer
+	// reportsFor is how old the reports of a peer may be, as of the last plan.
+	reportsFor time.Duration
+	version    uint64
+	groups     map[bbrtype.GroupName]*groupControl
+	members    map[bbrmember.Ref]*memberControl
+	peers      map[bbrtype.InstanceID]*peer
 	// removed are instances that others removed, with the time this instance
 	// learned it: they may hold authority a little longer.
 	removed map[bbrtype.InstanceID]bbrtype.Mono
@@ -271,6 +273,7 @@
 // plan starts what is due.
 func (c *Control) plan(now bbrtype.Mono) {
 	c.urgent = false
+	c.reportsFor = c.reportLimit(now)
 	c.readHead(now)
 	c.planMembers(now)
 	c.planChanges(now)
--- a/bbrcontrol/exchange.go
+++ b/bbrcontrol/exchange.go
@@ -107,6 +107,9 @@
 		Suspects: c.suspects(now),
 		Wishes:   c.freshWishes(now),
 	}
+	if p == nil || !c.isKnown(p.instance.ID) || !c.isCalm(now) {
+		m.Fleet = c.opts.Fleet
+	}
 	if p != nil && p.heardAt != 0 && p.applied < c.state.Applied {
 		m.Records, m.Snapshot = c.recordsAfter(p.applied)
 	}
@@ -160,6 +163,9 @@
 	if c.startedAt == 0 {
 		c.startedAt = now
 	}
+	if c.isForeign(m) {
+		return Message{From: c.opts.Self, Fleet: c.opts.Fleet}, nil
+	}
 	p := c.hear(now, m, 0)
 	vouched := m.WantVouch && c.vouch(now, m.From.ID, m.Applied)
 	if c.urgent {
@@ -200,10 +206,22 @@
 	}
 }
 
+// isForeign reports whether a message comes from an instance of another fleet.
+// One that is in the journal is known to belong to this one.
+func (c *Control) isForeign(m Message) bool {
+	return !c.isKnown(m.From.ID) && m.Fleet != c.opts.Fleet
+}
+
+// isKnown reports whether an instance is in the journal.
+func (c *Control) isKnown(id bbrtype.InstanceID) bool {
+	_, ok := c.state.Instances[id]
+	return ok
+}
+
 // hear takes what a peer tells. askedAt is when this instance asked for it, 0
 // for a message that came unasked.
 func (c *Control) hear(now bbrtype.Mono, m Message, askedAt bbrtype.Mono) *peer {
-	if m.From.ID == c.opts.Self.ID || m.From.ID == "" {
+	if m.From.ID == c.opts.Self.ID || m.From.ID == "" || c.isForeign(m) {
 		return nil
 	}
 	p := c.peerOf(m.From)
--- a/bbrcontrol/member.go
+++ b/bbrcontrol/member.go
@@ -256,9 +256,8 @@
 // othersOf returns the fresh opinions of the peers about a member.
 func (c *Control) othersOf(now bbrtype.Mono, ref bbrmember.Ref) []bbrfailover.Opinion {
 	var out []bbrfailover.Opinion
-	limit := c.reportLimit(now)
 	for id, p := range c.peers {
-		if _, member := c.state.Instances[id]; !member || now.Sub(p.reported) > limit {
+		if _, member := c.state.Instances[id]; !member || now.Sub(p.reported) > c.reportsFor {
 			continue
 		}
 		if r, ok := p.reports[ref]; ok {
--- a/bbrcontrol/message.go
+++ b/bbrcontrol/message.go
@@ -12,6 +12,8 @@
 // Message is what two instances tell each other, as a request and as a reply.
 type Message struct {
 	From bbrjournal.Instance `json:"from"`
+	// Fleet is left out in calm times, when everybody knows the sender.
+	Fleet string `json:"fleet,omitempty"`
 	// Applied is the sender's journal index.
 	Applied bbrtype.Index `json:"applied"`
 	// Joining is set while the sender is not a member.
--- a/bbrcontrol/options.go
+++ b/bbrcontrol/options.go
@@ -14,6 +14,8 @@
 type Options struct {
 	Self      bbrjournal.Instance
 	Authority bbrauthority.Settings
+	// Fleet names the journal. Instances of other fleets are not listened to.
+	Fleet string
 	// Nonce returns a text that no other call on any instance returns.
 	Nonce func() string
 
--- a/bbrpeer/convert.go
+++ b/bbrpeer/convert.go
@@ -29,7 +29,7 @@
 			Id: string(m.From.ID), Name: m.From.Name, Address: m.From.Address, DataCentre: string(m.From.DataCentre),
 		},
 		Applied: uint64(m.Applied), Joining: m.Joining, Leaving: m.Leaving, Version: m.Version,
-		WantVouch: m.WantVouch, Vouched: m.Vouched, Calm: m.Calm,
+		WantVouch: m.WantVouch, Vouched: m.Vouched, Calm: m.Calm, Fleet: m.Fleet,
 	}
 	for _, r := range m.Records {
 		b, err := json.Marshal(r)
@@ -93,7 +93,7 @@
 			DataCentre: bbrtype.DataCentre(from.GetDataCentre()),
 		},
 		Applied: bbrtype.Index(m.GetApplied()), Joining: m.GetJoining(), Leaving: m.GetLeaving(), Version: m.GetVersion(),
-		WantVouch: m.GetWantVouch(), Vouched: m.GetVouched(), Calm: m.GetCalm(),
+		WantVouch: m.GetWantVouch(), Vouched: m.GetVouched(), Calm: m.GetCalm(), Fleet: m.GetFleet(),
 	}
 	if out.From.ID == "" {
 		return out, errors.New("the message has no sender")
--- a/bbrpeer/peer_test.go
+++ b/bbrpeer/peer_test.go
@@ -49,7 +49,7 @@
 // full is a message that uses every field.
 var full = bbrcontrol.Message{
 	From:    bbrjournal.Instance{ID: "i1-1", Name: "i1", Address: "10.0.0.1:7432", DataCentre: "derby"},
-	Applied: 7, Joining: true, Leaving: true, Version: 3, WantVouch: true, Vouched: true, Calm: true,
+	Applied: 7, Joining: true, Leaving: true, Version: 3, WantVouch: true, Vouched: true, Calm: true, Fleet: "cell-1",
 	Records: []bbrjournal.Record{{Index: 7, Writer: "i1-1", Nonce: "n", Entries: []bbrjournal.Entry{bbrjournal.Fenced{Group: "orders", Term: 2}}}},
 	Reports: []bbrcontrol.Report{
 		{Ref: bbrmember.Ref{Group: "orders", Member: "m1"}, Opinion: bbrfailover.OpinionFailing},
