Let a noisy tenant's slowness not keep others out

Cause: beside a flood of another tenant, the limiter lowers its bound to 1 or 2 statements at work on a member, for all tenants together. A statement of the quiet tenant then waited for its turn behind those of the flood at every instance: p99 0.5 s, where the member has slots for three. Looking at this showed a second fault: a transaction that was dropped between two statements was taken off the count twice, so that each such caller raised the bound by one.

Change: a tenant that has less at work than its share of the slots, by weight among those present, starts although the lowered bound is reached. Each connection knows whether it counts. Tests were red before: -1 statements at work, and no connection for the quiet tenant.

--- a/bbradmit/limiter.go
+++ b/bbradmit/limiter.go
@@ -51,6 +51,13 @@
 	return false
 }
 
+// HasSpare reports whether the highest bound leaves room, although the present
+// one may not.
+func (l *Limiter) HasSpare() bool { return l.active < l.top }
+
+// Max returns the highest bound.
+func (l *Limiter) Max() int { return l.top }
+
 // Start counts a statement that begins.
 func (l *Limiter) Start() { l.active++ }
 
--- a/bbradmit/queue.go
+++ b/bbradmit/queue.go
@@ -113,6 +113,42 @@
 	return nil
 }
 
+// HasOf reports whether a tenant that is allowed waits.
+func (q *Queue) HasOf(allowed func(bbrtype.TenantName) bool) bool {
+	for t := range q.counts {
+		if allowed(t) {
+			return true
+		}
+	}
+	return false
+}
+
+// Tenants calls f for each tenant that waits.
+func (q *Queue) Tenants(f func(bbrtype.TenantName)) {
+	for t := range q.counts {
+		f(t)
+	}
+}
+
+// PopOf takes the next waiter of a tenant that is allowed, nil if there is none.
+func (q *Queue) PopOf(now bbrtype.Mono, allowed func(bbrtype.TenantName) bool) *Waiter {
+	for i := range q.levels {
+		l := &q.levels[i]
+		var first *Waiter
+		for _, w := range l.heap {
+			if w.Deadline >= now && allowed(w.Tenant) && (first == nil || w.isBefore(first)) {
+				first = w
+			}
+		}
+		if first != nil {
+			q.take(l, first)
+			l.clock = max(l.clock, first.finish)
+			return first
+		}
+	}
+	return nil
+}
+
 // nextLevel returns the highest priority that waits, or once in a while the
 // lowest.
 func (q *Queue) nextLevel() *level {
@@ -160,13 +196,16 @@
 
 func (h waiterHeap) Len() int { return len(h) }
 
-func (h waiterHeap) Less(i, j int) bool {
-	if h[i].finish != h[j].finish {
-		return h[i].finish < h[j].finish
+// isBefore reports whether a waiter's turn comes first within its level.
+func (w *Waiter) isBefore(o *Waiter) bool {
+	if w.finish != o.finish {
+		return w.finish < o.finish
 	}
-	return h[i].order < h[j].order
+	return w.order < o.order
 }
 
+func (h waiterHeap) Less(i, j int) bool { return h[i].isBefore(h[j]) }
+
 func (h waiterHeap) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
 	h[i].index, h[j].index = i, j
--- a/bbradmit/queue_test.go
+++ b/bbradmit/queue_test.go
@@ -13,7 +13,10 @@
 
 func TestMain(m *testing.M) { bbrtesthelpers.Main(m) }
 
-const now = bbrtype.Mono(time.Hour)
+const (
+	now   = bbrtype.Mono(time.Hour)
+	later = now + bbrtype.Mono(time.Minute)
+)
 
 func waiter(tenant bbrtype.TenantName, weight, priority int) *Waiter {
 	return &Waiter{Tenant: tenant, Weight: weight, Priority: priority, Deadline: now.Add(time.Minute)}
@@ -134,3 +137,26 @@
 	}
 	is.Equal(l.Limit(), 8)
 }
+
+func TestPopOfTakesTheAllowedInOrder(t *testing.T) {
+	is := is.New(t)
+	var q Queue
+	only := func(name bbrtype.TenantName) func(bbrtype.TenantName) bool {
+		return func(t bbrtype.TenantName) bool { return t == name }
+	}
+	push := func(tenant bbrtype.TenantName, priority int, deadline bbrtype.Mono) *Waiter {
+		w := &Waiter{Tenant: tenant, Priority: priority, Deadline: deadline}
+		is.NoErr(q.Push(w, 10))
+		return w
+	}
+	push("public", 1, later)
+	push("staff", 2, 0) // its patience is over
+	view := push("staff", 6, later)
+	order := push("staff", 2, later)
+	is.True(q.HasOf(only("staff")))
+	is.Equal(q.PopOf(now, only("staff")), order)
+	is.Equal(q.PopOf(now, only("staff")), view)
+	is.Equal(q.PopOf(now, only("staff")), nil)
+	is.Equal(q.PopOf(now, only("nobody")), nil)
+	is.True(q.HasOf(only("public")))
+}
--- a/bbrpool/conn.go
+++ b/bbrpool/conn.go
@@ -38,8 +38,9 @@
 	bornAt   bbrtype.Mono
 	usedAt   bbrtype.Mono
 	tainted  bool
-	// look is set while the connection serves looks at the member's state only.
-	look bool
+	// tenant is whose statement is at work, counted set while it counts.
+	tenant  bbrtype.TenantName
+	counted bool
 	// writeBy is the present deadline of writes.
 	writeBy time.Time
 }
--- a/bbrpool/pool.go
+++ b/bbrpool/pool.go
@@ -94,9 +94,12 @@
 type Pool struct {
 	opts Options
 
-	mu       sync.Mutex
-	queue    bbradmit.Queue
-	limiter  bbradmit.Limiter
+	mu      sync.Mutex
+	queue   bbradmit.Queue
+	limiter bbradmit.Limiter
+	// active counts the statements at work by tenant, weights are the tenants'.
+	active   map[bbrtype.TenantName]int
+	weights  map[bbrtype.TenantName]int
 	idle     []*Conn
 	busy     map[*Conn]bool
 	open     int
@@ -118,7 +121,7 @@
 
 // New returns a pool that may open nothing until Grant is called.
 func New(opts Options) *Pool {
-	p := &Pool{opts: opts, backoff: backoff.NewExponentialBackOff(), waitings: map[*bbradmit.Waiter]chan grantedConn{}, busy: map[*Conn]bool{}}
+	p := &Pool{opts: opts, backoff: backoff.NewExponentialBackOff(), waitings: map[*bbradmit.Waiter]chan grantedConn{}, busy: map[*Conn]bool{}, active: map[bbrtype.TenantName]int{}, weights: map[bbrtype.TenantName]int{}}
 	p.backoff.InitialInterval = 50 * time.Millisecond
 	p.backoff.MaxInterval = time.Second
 	p.limiter.SetMax(opts.Slots)
@@ -206,8 +209,9 @@
 		return nil, ErrClosed
 	}
 	now := p.opts.Clock.Now()
-	if len(p.idle) > 0 && (t.Look || p.queue.Len() == 0 && p.limiter.HasRoom()) {
-		c := p.takeIdle(t.Look)
+	p.weights[t.Tenant] = max(t.Weight, 1)
+	if len(p.idle) > 0 && (t.Look || p.mayStart(t.Tenant)) {
+		c := p.takeIdle(t.Tenant, t.Look)
 		p.mu.Unlock()
 		return c, nil
 	}
@@ -257,23 +261,96 @@
 	p.looks = slices.DeleteFunc(p.looks, func(l *bbradmit.Waiter) bool { return l == w })
 }
 
+// mayStart reports whether a statement need not wait.
+func (p *Pool) mayStart(t bbrtype.TenantName) bool {
+	if p.queue.Len() == 0 {
+		return p.limiter.HasRoom() || p.mayExceed(t)
+	}
+	return p.queue.Waiting(t) == 0 && p.mayExceed(t)
+}
+
+// mayExceed reports whether a statement may start although the limiter has
+// lowered its bound: the tenant has less at work than its share of the member's
+// slots, and those leave room. Otherwise the statements of one tenant, which made
+// the member slow, would keep out those of others.
+func (p *Pool) mayExceed(t bbrtype.TenantName) bool {
+	return p.limiter.HasSpare() && p.active[t] < p.share(t)
+}
+
+// share is a tenant's part of the slots, by its weight among those that have
+// statements at work or waiting. It is at least 1. A tenant alone has none beyond
+// what the limiter allows.
+func (p *Pool) share(t bbrtype.TenantName) int {
+	sum, others := p.weights[t], 0
+	add := func(o bbrtype.TenantName) {
+		if o != t {
+			others++
+			sum += p.weights[o]
+		}
+	}
+	for o := range p.active {
+		add(o)
+	}
+	p.queue.Tenants(func(o bbrtype.TenantName) {
+		if p.active[o] == 0 {
+			add(o)
+		}
+	})
+	if others == 0 {
+		return 0
+	}
+	return max(1, p.limiter.Max()*p.weights[t]/sum)
+}
+
+// next takes the waiter whose turn it is, nil if nobody may start.
+func (p *Pool) next(now bbrtype.Mono) *bbradmit.Waiter {
+	if p.limiter.HasRoom() {
+		return p.queue.Pop(now)
+	}
+	if !p.limiter.HasSpare() {
+		return nil
+	}
+	return p.queue.PopOf(now, p.mayExceed)
+}
+
 // takeIdle takes the connection that was used last.
-func (p *Pool) takeIdle(look bool) *Conn {
+func (p *Pool) takeIdle(t bbrtype.TenantName, look bool) *Conn {
 	c := p.idle[len(p.idle)-1]
 	p.idle = p.idle[:len(p.idle)-1]
 	p.busy[c] = true
-	c.look = look
+	c.tenant = t
 	if !look {
-		p.limiter.Start()
+		p.begin(c)
 	}
 	return c
 }
 
+// begin counts the statement of a connection as at work.
+func (p *Pool) begin(c *Conn) {
+	if !c.counted {
+		c.counted = true
+		p.limiter.Start()
+		p.active[c.tenant]++
+	}
+}
+
+// end takes back what begin counted.
+func (p *Pool) end(c *Conn, took time.Duration) {
+	if !c.counted {
+		return
+	}
+	c.counted = false
+	p.limiter.End(took)
+	if p.active[c.tenant]--; p.active[c.tenant] == 0 {
+		delete(p.active, c.tenant)
+	}
+}
+
 // hand gives an idle connection to a waiter.
 func (p *Pool) hand(w *bbradmit.Waiter, look bool) {
 	if ch := p.waitings[w]; ch != nil {
 		delete(p.waitings, w)
-		ch <- grantedConn{conn: p.takeIdle(look)}
+		ch <- grantedConn{conn: p.takeIdle(w.Tenant, look)}
 	}
 }
 
@@ -285,14 +362,18 @@
 		p.looks = p.looks[1:]
 		p.hand(w, true)
 	}
-	for p.queue.Len() > 0 && len(p.idle) > 0 && p.limiter.HasRoom() {
-		w := p.queue.Pop(now)
+	for p.queue.Len() > 0 && len(p.idle) > 0 {
+		w := p.next(now)
 		if w == nil {
 			break
 		}
 		p.hand(w, false)
 	}
-	need := min(p.queue.Len(), p.limiter.Limit()-p.limiter.Active()) + len(p.looks)
+	need := max(0, min(p.queue.Len(), p.limiter.Limit()-p.limiter.Active()))
+	if need == 0 && p.limiter.HasSpare() && p.queue.HasOf(p.mayExceed) {
+		need = 1
+	}
+	need += len(p.looks)
 	for p.dialing < min(dialLimit, need) && p.open+p.dialing < p.allowed(now) && !p.closed {
 		if now < p.retryAt {
 			return
@@ -401,9 +482,7 @@
 func (p *Pool) Release(c *Conn, took time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !c.look {
-		p.limiter.End(took)
-	}
+	p.end(c, took)
 	delete(p.busy, c)
 	now := p.opts.Clock.Now()
 	if c.tainted || p.closed || p.open+p.dialing > p.allowed(now) {
@@ -424,18 +503,18 @@
 
 // Pause and Resume bracket the time in which a transaction holds a connection
 // without a statement at work.
-func (p *Pool) Pause(took time.Duration) {
+func (p *Pool) Pause(c *Conn, took time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.limiter.End(took)
+	p.end(c, took)
 	p.serve()
 }
 
 // Resume counts a statement of a transaction that holds its connection.
-func (p *Pool) Resume() {
+func (p *Pool) Resume(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.limiter.Start()
+	p.begin(c)
 }
 
 // Tick starts what waits for time to pass.
--- a/bbrpool/pool_test.go
+++ b/bbrpool/pool_test.go
@@ -111,3 +111,73 @@
 	p.Release(busy, 0)
 	is.Equal(p.Stats().Open, 0)
 }
+
+func TestATransactionThatIsDroppedCountsOnce(t *testing.T) {
+	is := is.New(t)
+	p := newPool(t, 2, 2)
+	a := acquire(t, p, ticket(p))
+	p.Pause(a, 0)
+	is.Equal(p.Stats().Active, 0)
+	p.Discard(a) // the caller left within the transaction
+	is.Equal(p.Stats().Active, 0)
+	b := acquire(t, p, ticket(p))
+	p.Pause(b, 0)
+	p.Resume(b)
+	is.Equal(p.Stats().Active, 1)
+	p.Release(b, 0)
+	is.Equal(p.Stats().Active, 0)
+}
+
+// shrink makes the limiter lower its bound to 1, as slow answers do.
+func shrink(p *Pool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for n := range 1000 {
+		p.limiter.Start()
+		took := time.Millisecond
+		if n > 100 {
+			took = time.Second
+		}
+		p.limiter.End(took)
+	}
+}
+
+// A tenant that has nothing at work need not wait until another one's statements
+// have ended, as long as the member's slots allow it.
+func TestAShrunkenLimitKeepsNoTenantOut(t *testing.T) {
+	is := is.New(t)
+	p := newPool(t, 3, 4)
+	shrink(p)
+	is.Equal(p.Stats().Limit, 1)
+	noisy, quiet := ticket(p), ticket(p)
+	noisy.Tenant = "public"
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	a := acquire(t, p, noisy)
+	var group errgroup.Group
+	for range 5 { // the flood waits
+		group.Go(func() error {
+			_, err := p.Acquire(ctx, noisy)
+			return err
+		})
+	}
+	for p.Stats().Waiting < 5 {
+		time.Sleep(time.Millisecond)
+	}
+	b := acquire(t, p, quiet)
+	is.Equal(p.Stats().Waiting, 5)
+	heavy := quiet
+	heavy.Weight = 2
+	c := acquire(t, p, heavy) // two of three slots are its share
+	p.Release(c, 0)
+	short, end := context.WithTimeout(context.Background(), 10*time.Millisecond)
+	defer end()
+	_, err := p.Acquire(short, quiet)
+	is.True(err != nil) // its second statement waits as others do
+	p.Release(b, 0)
+	is.Equal(p.Stats().Waiting, 5)
+	p.Release(a, 0)
+	is.Equal(p.Stats().Waiting, 4)
+	cancel()
+	_ = group.Wait()
+}
--- a/bbrproxy/transaction.go
+++ b/bbrproxy/transaction.go
@@ -37,13 +37,13 @@
 		group: r.group, pool: pool, conn: conn, member: m, replica: replica, status: pm.ans.status, paused: true,
 		wrote: r.batch.info.Kind == bbrstatement.KindWrite,
 	}
-	pool.Pause(took)
+	pool.Pause(conn, took)
 }
 
 // resume counts a statement that goes to work.
 func (t *transaction) resume() {
 	if t.paused {
-		t.pool.Resume()
+		t.pool.Resume(t.conn)
 		t.paused = false
 	}
 }
@@ -87,7 +87,7 @@
 	t.status = pm.ans.status
 	if t.status != txIdle {
 		t.paused = true
-		t.pool.Pause(took)
+		t.pool.Pause(t.conn, took)
 		return target, nil
 	}
 	c.tx = nil
