--- a/bbrintegration/tls_test.go
+++ b/bbrintegration/tls_test.go
@@ -89,10 +89,10 @@
 	is.NoErr(other.QueryRow(f.ctx, "SELECT count(*) FROM orders").Scan(&n))
 	is.Equal(n, 1)
 
-	clear, err := pgx.ParseConfig(f.url(0))
+	inClear, err := pgx.ParseConfig(f.url(0))
 	is.NoErr(err)
-	clear.TLSConfig, clear.Fallbacks = nil, nil
-	_, err = pgx.ConnectConfig(f.ctx, clear)
+	inClear.TLSConfig, inClear.Fallbacks = nil, nil
+	_, err = pgx.ConnectConfig(f.ctx, inClear)
 	is.True(err != nil) // a caller in the clear
 
 	stranger := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: s.roots(t)}}}
