Weigh the tenants that are present once for all waiters

Cause: each waiter's share was worked out by looking at all tenants again, under the pool's lock: with many tenants the work grows with the product.

Change: the tenants present and their weights are added up once.

Ruled out: keeping the sum at all times (it would be state that can be derived).

Measured: tests of bbrpool pass unchanged.

--- a/bbradmit/queue.go
+++ b/bbradmit/queue.go
@@ -113,16 +113,6 @@
 	return nil
 }
 
-// HasOf reports whether a tenant that is allowed waits.
-func (q *Queue) HasOf(allowed func(bbrtype.TenantName) bool) bool {
-	for t := range q.counts {
-		if allowed(t) {
-			return true
-		}
-	}
-	return false
-}
-
 // Tenants calls f for each tenant that waits.
 func (q *Queue) Tenants(f func(bbrtype.TenantName)) {
 	for t := range q.counts {
--- a/bbradmit/queue_test.go
+++ b/bbradmit/queue_test.go
@@ -153,10 +153,9 @@
 	push("staff", 2, 0) // its patience is over
 	view := push("staff", 6, later)
 	order := push("staff", 2, later)
-	is.True(q.HasOf(only("staff")))
 	is.Equal(q.PopOf(now, only("staff")), order)
 	is.Equal(q.PopOf(now, only("staff")), view)
 	is.Equal(q.PopOf(now, only("staff")), nil)
 	is.Equal(q.PopOf(now, only("nobody")), nil)
-	is.True(q.HasOf(only("public")))
+	is.Equal(q.Waiting("public"), 1)
 }
--- a/bbrpool/pool.go
+++ b/bbrpool/pool.go
@@ -297,7 +297,7 @@
 		p.hand(w, false)
 	}
 	need := max(0, min(p.queue.Len(), p.limiter.Limit()-p.limiter.Active()))
-	if need == 0 && p.limiter.HasSpare() && p.queue.HasOf(p.mayExceed) {
+	if need == 0 && p.wantsToExceed() {
 		need = 1
 	}
 	need += len(p.looks)
--- a/bbrpool/share.go
+++ b/bbrpool/share.go
@@ -15,37 +15,42 @@
 	return p.queue.Waiting(t) == 0 && p.mayExceed(t)
 }
 
-// mayExceed reports whether a statement may start although the limiter has
-// lowered its bound: the tenant has less at work than its share of the member's
-// slots, and those leave room. Otherwise the statements of one tenant, which made
-// the member slow, would keep out those of others.
-func (p *Pool) mayExceed(t bbrtype.TenantName) bool {
-	return p.limiter.HasSpare() && p.active[t] < p.share(t)
-}
+// present are the tenants that have statements at work or waiting: their number,
+// and the sum of their weights.
+type present struct{ tenants, weight int }
 
-// share is a tenant's part of the slots, by its weight among those that have
-// statements at work or waiting. It is at least 1. A tenant alone has none beyond
-// what the limiter allows.
-func (p *Pool) share(t bbrtype.TenantName) int {
-	sum, others := p.weights[t], 0
-	add := func(o bbrtype.TenantName) {
-		if o != t {
-			others++
-			sum += p.weights[o]
-		}
+func (p *Pool) present() present {
+	var out present
+	for t := range p.active {
+		out.tenants++
+		out.weight += p.weights[t]
 	}
-	for o := range p.active {
-		add(o)
-	}
-	p.queue.Tenants(func(o bbrtype.TenantName) {
-		if p.active[o] == 0 {
-			add(o)
+	p.queue.Tenants(func(t bbrtype.TenantName) {
+		if p.active[t] == 0 {
+			out.tenants++
+			out.weight += p.weights[t]
 		}
 	})
-	if others == 0 {
-		return 0
+	return out
+}
+
+// mayExceed reports whether a statement may start although the limiter has
+// lowered its bound: the tenant is not alone, it has less at work than its share
+// of the member's slots, and those leave room. Otherwise the statements of one
+// tenant, which made the member slow, would keep out those of others.
+func (p *Pool) mayExceed(t bbrtype.TenantName) bool {
+	now := p.present()
+	if p.active[t] == 0 && p.queue.Waiting(t) == 0 {
+		now.tenants++
+		now.weight += p.weights[t]
 	}
-	return max(1, p.limiter.Max()*p.weights[t]/sum)
+	return p.limiter.HasSpare() && p.isWithinShare(t, now)
+}
+
+// isWithinShare reports whether a tenant has less at work than its share of the
+// slots, which is at least 1.
+func (p *Pool) isWithinShare(t bbrtype.TenantName, now present) bool {
+	return now.tenants > 1 && p.active[t] < max(1, p.limiter.Max()*p.weights[t]/now.weight)
 }
 
 // next takes the waiter whose turn it is, nil if nobody may start.
@@ -56,7 +61,18 @@
 	if !p.limiter.HasSpare() {
 		return nil
 	}
-	return p.queue.PopOf(now, p.mayExceed)
+	here := p.present()
+	return p.queue.PopOf(now, func(t bbrtype.TenantName) bool { return p.isWithinShare(t, here) })
+}
+
+// wantsToExceed reports whether a waiter may start beyond the lowered bound.
+func (p *Pool) wantsToExceed() bool {
+	if !p.limiter.HasSpare() {
+		return false
+	}
+	here, found := p.present(), false
+	p.queue.Tenants(func(t bbrtype.TenantName) { found = found || p.isWithinShare(t, here) })
+	return found
 }
 
 // begin counts the statement of a connection as at work.
