Compare each lookup by key with the member's log

Cause: the test of keyed requests asked for each key's fate and did not look at the answer: that part could not fail.

Change: a lookup must say that a request was run exactly if the member's log has it.

Ruled out: nothing.

--- a/bbrintegration/key_test.go
+++ b/bbrintegration/key_test.go
@@ -151,9 +151,12 @@
 		}
 	}
 	t.Logf("tries by their end: %v", ends)
-	for k, history := range histories {
-		is.True(porcupine.CheckOperations(keyModel, history)) // see histories[k]
-		f.lookup(0, fmt.Sprintf("key-%d", k))
+	for _, history := range histories {
+		is.True(porcupine.CheckOperations(keyModel, history))
+	}
+	fates := make([]string, keys)
+	for k := range fates {
+		fates[k] = f.lookup(0, fmt.Sprintf("key-%d", k))
 	}
 	runs := f.runs(f.primary())
 	for k, history := range histories {
@@ -165,6 +168,7 @@
 		}
 		is.True(runs[int64(k+1)] <= 1)
 		is.True(told <= runs[int64(k+1)])
+		is.Equal(fates[k] == "run", runs[int64(k+1)] == 1) // a lookup tells the truth
 	}
 
 	// The check can fail.
