Serve the users' platform, thin: one path from callers to members

Cause: the engine spoke PostgreSQL only and met no platform of the users' kind. Change: typed messages with a dialect each (bbrmessage, platform/), a catalogue, a directory of members, proofs of the primary from members' own answers (bbrproof), placement (bbrplace), connections (bbrlink), sessions (bbrsession), change of primary over one record a group (bbrsuccession, bbrnode). Leases run on CLOCK_BOOTTIME. Ruled out: authority by reads of the store, since it costs a call each second and instance and ends with the store.

--- /dev/null
+++ b/bbrlink/group.go
@@ -0,0 +1,348 @@
+// Package bbrlink holds the connections of an instance to the members of a
+// group, what their answers prove, and who waits for a connection.
+//
+// # Usage
+//
+//	g := bbrlink.NewGroup("orders", deps)
+//	g.SetMembers(members, service)
+//	conn, err := g.Acquire(ctx, bbrplace.Want{PrimaryOnly: true, Deadline: deadline})
+//	reply, err := conn.Run(…)
+//	g.Release(conn)
+package bbrlink
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bluebellroute/bluebellroute/bbrcatalog"
+	"github.com/bluebellroute/bluebellroute/bbrdirectory"
+	"github.com/bluebellroute/bluebellroute/bbrmessage"
+	"github.com/bluebellroute/bluebellroute/bbrplace"
+	"github.com/bluebellroute/bluebellroute/bbrproof"
+	"github.com/bluebellroute/bluebellroute/bbrtype"
+)
+
+// Errors of Acquire. In each case nothing was sent to a member.
+var (
+	// ErrNoRoom means that no member had room before the deadline.
+	ErrNoRoom = errors.New("no member had room in time")
+	// ErrNoMember means that no member may serve the statement.
+	ErrNoMember = errors.New("no member may serve the statement")
+	// ErrUnreachable means that the chosen member took no connection.
+	ErrUnreachable = errors.New("the member took no connection")
+)
+
+const (
+	// dialTimeout bounds the making of a connection to a member.
+	dialTimeout = 600 * time.Millisecond
+	// reserved are the connections of a member that are kept for looks.
+	reserved = 2
+	// idleLimit is how long a connection beyond the first may stay unused.
+	idleLimit = 8 * time.Second
+)
+
+// Dialer opens a connection to a member, which must be the one expected.
+type Dialer func(ctx context.Context, m bbrdirectory.Member) (bbrmessage.MemberConn, error)
+
+// Deps are what the connections of all groups share.
+type Deps struct {
+	Dial       Dialer
+	Clock      *bbrtype.Clock
+	Log        logrus.FieldLogger
+	Group      *errgroup.Group
+	DataCentre bbrtype.DataCentre
+	// Instances returns the number of instances that share the members.
+	Instances func() int
+}
+
+// Group is a database group with this instance's connections to it.
+type Group struct {
+	Deps
+	name bbrtype.GroupName
+
+	mu      sync.Mutex
+	board   bbrplace.Board
+	members map[bbrtype.MemberName]bbrdirectory.Member
+	idle    map[bbrtype.MemberName][]*Conn
+	service bbrcatalog.Service
+	primary Primary
+	proof   bbrproof.Authority
+	contact map[bbrtype.MemberName]contact
+	// proving is closed when the look that is under way has ended.
+	proving chan struct{}
+}
+
+// Primary is the primary that an instance goes by.
+type Primary struct {
+	Member bbrtype.MemberName
+	Term   bbrtype.Term
+	// UsableFrom is when it may begin to acknowledge.
+	UsableFrom bbrtype.Mono
+}
+
+// contact is when a member last answered, and since when it has not.
+type contact struct {
+	answered  bbrtype.Mono
+	failingAt bbrtype.Mono
+}
+
+// NewGroup returns a group without members.
+func NewGroup(name bbrtype.GroupName, deps Deps) *Group {
+	return &Group{
+		Deps:    deps,
+		name:    name,
+		members: map[bbrtype.MemberName]bbrdirectory.Member{},
+		idle:    map[bbrtype.MemberName][]*Conn{},
+		contact: map[bbrtype.MemberName]contact{},
+	}
+}
+
+// Name returns the group's name.
+func (g *Group) Name() bbrtype.GroupName { return g.name }
+
+// SetMembers puts the group's members and settings in force.
+func (g *Group) SetMembers(members []bbrdirectory.Member, service bbrcatalog.Service) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.service = service
+	seen := map[bbrtype.MemberName]bool{}
+	for _, m := range members {
+		seen[m.ID] = true
+		old, known := g.members[m.ID]
+		g.members[m.ID] = m
+		if known && old.Born != m.Born {
+			g.closeIdle(m.ID)
+		}
+	}
+	for id := range g.members {
+		if !seen[id] {
+			delete(g.members, id)
+			delete(g.contact, id)
+			g.board.Forget(id)
+			g.closeIdle(id)
+		}
+	}
+	g.refresh()
+}
+
+// refresh gives the board the members as they are now.
+func (g *Group) refresh() {
+	limit := g.share()
+	for id, m := range g.members {
+		g.board.SetMember(bbrplace.Member{
+			ID:      id,
+			Primary: id == g.primary.Member,
+			Near:    m.DataCentre == g.DataCentre,
+			Leaving: m.Draining,
+			Limit:   limit,
+		})
+	}
+	g.board.Dispatch(g.Clock.Now())
+}
+
+// share is the number of connections to each member that this instance may
+// have.
+func (g *Group) share() int {
+	n := max(1, g.Instances())
+	return max(1, (g.service.MaxConnections-reserved+n-1)/n)
+}
+
+// SetPrimary names the primary that the group is served by.
+func (g *Group) SetPrimary(p Primary) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p.Member == g.primary.Member && p.Term == g.primary.Term {
+		return
+	}
+	g.Log.WithFields(logrus.Fields{"group": g.name, "member": p.Member, "term": p.Term, "before": g.primary.Member, "termBefore": g.primary.Term}).Info("primary in use")
+	g.primary = p
+	g.proof.Reset(p.Term)
+	g.refresh()
+}
+
+// Primary returns the primary in use.
+func (g *Group) Primary() Primary {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.primary
+}
+
+// Members returns the members known.
+func (g *Group) Members() []bbrdirectory.Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := make([]bbrdirectory.Member, 0, len(g.members))
+	for _, m := range g.members {
+		out = append(out, m)
+	}
+	return out
+}
+
+// Service returns the group's settings.
+func (g *Group) Service() bbrcatalog.Service {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.service
+}
+
+// Acquire returns a connection to a member that may serve a statement. It waits
+// until the deadline of want.
+func (g *Group) Acquire(ctx context.Context, want bbrplace.Want) (*Conn, error) {
+	granted := make(chan bbrtype.MemberName, 1)
+	w := &bbrplace.Waiter{Want: want, Granted: func(id bbrtype.MemberName) { granted <- id }}
+	g.mu.Lock()
+	now := g.Clock.Now()
+	g.board.Ask(w, now)
+	g.mu.Unlock()
+	select {
+	case id := <-granted:
+		return g.connect(ctx, id)
+	default:
+	}
+	timer := time.NewTimer(want.Deadline.Sub(now))
+	defer timer.Stop()
+	select {
+	case id := <-granted:
+		return g.connect(ctx, id)
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	g.mu.Lock()
+	removed := g.board.Remove(w)
+	g.mu.Unlock()
+	if !removed {
+		g.giveBack(<-granted)
+	}
+	return nil, ErrNoRoom
+}
+
+// giveBack releases a member's place without a connection.
+func (g *Group) giveBack(id bbrtype.MemberName) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.board.Release(id, g.Clock.Now())
+}
+
+// connect takes an idle connection to a member or opens one.
+func (g *Group) connect(ctx context.Context, id bbrtype.MemberName) (*Conn, error) {
+	g.mu.Lock()
+	if list := g.idle[id]; len(list) > 0 {
+		c := list[len(list)-1]
+		g.idle[id] = list[:len(list)-1]
+		g.mu.Unlock()
+		return c, nil
+	}
+	m, ok := g.members[id]
+	g.mu.Unlock()
+	if !ok {
+		g.giveBack(id)
+		return nil, &MemberError{Member: id, err: ErrUnreachable}
+	}
+	c, err := g.open(ctx, m)
+	if err != nil {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.noteFailure(id, err)
+		g.board.Release(id, g.Clock.Now())
+		return nil, &MemberError{Member: id, err: err}
+	}
+	return c, nil
+}
+
+// open makes a connection to a member.
+func (g *Group) open(ctx context.Context, m bbrdirectory.Member) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	wire, err := g.Dial(ctx, m)
+	if err != nil {
+		return nil, err
+	}
+	return &Conn{group: g, member: m, wire: wire}, nil
+}
+
+// MemberError is an error of one member. Nothing was run.
+type MemberError struct {
+	Member bbrtype.MemberName
+	err    error
+}
+
+// Error names the member.
+func (e *MemberError) Error() string { return "member " + string(e.Member) + ": " + e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *MemberError) Unwrap() error { return e.err }
+
+// noteFailure tells the board that a member gave no connection.
+func (g *Group) noteFailure(id bbrtype.MemberName, err error) {
+	now := g.Clock.Now()
+	var f *bbrmessage.Failure
+	if errors.As(err, &f) && f.Class == bbrmessage.ClassTooManyConnections {
+		g.board.TurnedAway(id, now)
+		return
+	}
+	g.fail(id, now)
+	g.Log.WithFields(logrus.Fields{"group": g.name, "member": id}).WithError(err).Info("member unreachable")
+}
+
+// fail notes that a member did not answer.
+func (g *Group) fail(id bbrtype.MemberName, now bbrtype.Mono) {
+	g.board.Failed(id, now)
+	c := g.contact[id]
+	if c.failingAt == 0 {
+		c.failingAt = now
+	}
+	g.contact[id] = c
+}
+
+// Release gives a connection back.
+func (g *Group) Release(c *Conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Clock.Now()
+	id := c.member.ID
+	m, known := g.members[id]
+	if c.broken || !known || m.Born != c.member.Born {
+		_ = c.wire.Close()
+	} else {
+		c.idleFrom = now
+		g.idle[id] = append(g.idle[id], c)
+	}
+	g.board.Release(id, now)
+}
+
+// closeIdle closes the unused connections to a member.
+func (g *Group) closeIdle(id bbrtype.MemberName) {
+	for _, c := range g.idle[id] {
+		_ = c.wire.Close()
+	}
+	delete(g.idle, id)
+}
+
+// Trim closes connections that nobody has used for a while, down to one for
+// each member.
+func (g *Group) Trim() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Clock.Now()
+	for id, list := range g.idle {
+		for len(list) > 1 && now.Sub(list[0].idleFrom) > idleLimit {
+			_ = list[0].wire.Close()
+			list = list[1:]
+		}
+		g.idle[id] = list
+	}
+}
+
+// Close closes all unused connections.
+func (g *Group) Close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for id := range g.idle {
+		g.closeIdle(id)
+	}
+}
--- /dev/null
+++ b/bbrnode/change.go
@@ -0,0 +1,269 @@
+package bbrnode
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/bluebellroute/bluebellroute/bbrlink"
+	"github.com/bluebellroute/bluebellroute/bbrmessage"
+	"github.com/bluebellroute/bluebellroute/bbrproof"
+	"github.com/bluebellroute/bluebellroute/bbrrows"
+	"github.com/bluebellroute/bluebellroute/bbrsuccession"
+	"github.com/bluebellroute/bluebellroute/bbrtype"
+)
+
+const (
+	// stepPause is the pause between two tries of a step of a change.
+	stepPause = 60 * time.Millisecond
+	// stepDownAfter is how long a change waits for all replicas before the old
+	// primary is told to step down.
+	stepDownAfter = 300 * time.Millisecond
+	// promoteAgain is how long a promotion may take before it is ordered again.
+	promoteAgain = 2500 * time.Millisecond
+)
+
+// change is a change of primary that this instance makes.
+type change struct {
+	node  *Node
+	group *bbrlink.Group
+	old   bbrlink.Primary
+	known bbrsuccession.Known
+	term  bbrtype.Term
+	began bbrtype.Mono
+	log   logrus.FieldLogger
+}
+
+// change replaces the primary of a group, if no other instance does.
+func (n *Node) change(ctx context.Context, g *bbrlink.Group, old bbrlink.Primary) {
+	if !n.enter(g.Name()) {
+		return
+	}
+	defer n.leave(g.Name())
+	known := n.known(g.Name())
+	if !bbrsuccession.MayClaim(known, n.clock.Now()) {
+		return
+	}
+	c := &change{
+		node: n, group: g, old: old, known: known, began: n.clock.Now(),
+		log: n.log.WithFields(logrus.Fields{"group": g.Name(), "old": old.Member, "oldTerm": old.Term}),
+	}
+	if err := c.run(ctx); err != nil {
+		c.log.WithError(err).Warn("change of primary given up")
+	}
+}
+
+// enter notes that this instance makes a change of a group.
+func (n *Node) enter(name bbrtype.GroupName) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.changing[name] || n.stopping {
+		return false
+	}
+	n.changing[name] = true
+	return true
+}
+
+func (n *Node) leave(name bbrtype.GroupName) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.changing, name)
+}
+
+// run makes the change.
+func (c *change) run(ctx context.Context) error {
+	record := bbrsuccession.Claim(c.known, c.node.settings.Name)
+	if err := c.write(ctx, record); err != nil {
+		return errors.Wrap(err, "claim the record")
+	}
+	c.log.WithField("fence", record.Fence).Info("change of primary begins")
+	choice, barrier, err := c.reachBarrier(ctx)
+	if err != nil {
+		c.giveUp(ctx)
+		return err
+	}
+	if choice.Decision == bbrsuccession.DecisionPromote {
+		if err := c.promote(ctx, &choice, record.Fence); err != nil {
+			c.giveUp(ctx)
+			return err
+		}
+	}
+	sleep(ctx, barrier.Add(bbrproof.Lease).Sub(c.node.clock.Now()))
+	return c.name(ctx, record, choice)
+}
+
+// inTime reports whether the claim still counts.
+func (c *change) inTime() bool {
+	return c.node.clock.Now().Sub(c.began) < bbrsuccession.ClaimTime
+}
+
+// write changes the group's record if it is as known. A lost reply is read back.
+func (c *change) write(ctx context.Context, r bbrsuccession.Record) error {
+	value, err := json.Marshal(r)
+	if err != nil {
+		return errors.Wrap(err, "encode the record")
+	}
+	row := bbrrows.RowName{Table: groupTable, Key: string(c.group.Name())}
+	version, err := c.node.ports.Rows.Write(ctx, bbrrows.Change{
+		Expected: map[bbrrows.RowName]int64{row: c.known.Version},
+		Set:      map[bbrrows.RowName][]byte{row: value},
+	})
+	if err != nil {
+		if version, err = c.readBack(ctx, r, err); err != nil {
+			return err
+		}
+	}
+	c.node.mu.Lock()
+	defer c.node.mu.Unlock()
+	c.node.noteRecord(c.group.Name(), r, version)
+	c.known = c.node.records[c.group.Name()]
+	return nil
+}
+
+// readBack looks whether a write without a reply was made.
+func (c *change) readBack(ctx context.Context, want bbrsuccession.Record, cause error) (int64, error) {
+	if errors.Is(cause, bbrrows.ErrTurnedAway) {
+		return 0, cause
+	}
+	rows, _, err := c.node.ports.Rows.Read(ctx, groupTable)
+	if err != nil {
+		return 0, cause
+	}
+	for _, r := range rows {
+		if r.Key != string(c.group.Name()) {
+			continue
+		}
+		var have bbrsuccession.Record
+		if json.Unmarshal(r.Value, &have) == nil && have == want {
+			return r.Version, nil
+		}
+		c.node.mu.Lock()
+		c.node.takeRecord(r)
+		c.node.mu.Unlock()
+	}
+	return 0, cause
+}
+
+// reachBarrier holds replication until nothing more can be acknowledged by the
+// old primary. It returns the choice and when the barrier was reached.
+func (c *change) reachBarrier(ctx context.Context) (bbrsuccession.Choice, bbrtype.Mono, error) {
+	c.term = bbrsuccession.NextTerm(c.node.looks(ctx, c.group), c.old.Term)
+	var why string
+	for c.inTime() && ctx.Err() == nil {
+		looks := c.hold(ctx)
+		choice := bbrsuccession.Choose(looks, c.old.Member, c.term, c.group.Service().SyncReplicas)
+		if choice.Decision != bbrsuccession.DecisionWait {
+			c.log.WithFields(logrus.Fields{"decision": choice.Decision, "member": choice.Member, "term": choice.Term, "looks": looks}).Info("barrier reached")
+			return choice, c.node.clock.Now(), nil
+		}
+		why = choice.Why
+		sleep(ctx, stepPause)
+	}
+	return bbrsuccession.Choice{}, 0, errors.Errorf("the barrier was not reached: %s", why)
+}
+
+// hold asks every replica to hold replication and returns what they told.
+func (c *change) hold(ctx context.Context) []bbrsuccession.Candidate {
+	stepDown := c.node.clock.Now().Sub(c.began) > stepDownAfter
+	return c.node.ask(ctx, c.group, func(ctx context.Context, id bbrtype.MemberName) (bbrmessage.Look, error) {
+		switch {
+		case id != c.old.Member:
+			return c.group.Hold(ctx, id, c.term)
+		case stepDown:
+			return c.group.StepDown(ctx, id, c.term)
+		}
+		return c.group.LookAt(ctx, id)
+	})
+}
+
+// promote orders the promotion until the member leads.
+func (c *change) promote(ctx context.Context, choice *bbrsuccession.Choice, fence bbrsuccession.Fence) error {
+	order := bbrsuccession.Order{Group: c.group.Name(), Member: choice.Member, Fence: fence}
+	var ordered bbrtype.Mono
+	for c.inTime() && ctx.Err() == nil {
+		if now := c.node.clock.Now(); ordered == 0 || now.Sub(ordered) > promoteAgain {
+			err := c.node.ports.Promoter.Promote(ctx, order)
+			if errors.Is(err, bbrsuccession.ErrRefused) {
+				return err
+			}
+			if err != nil {
+				c.log.WithError(err).Warn("promotion unanswered")
+			} else {
+				ordered = now
+			}
+		}
+		look, err := c.group.LookAt(ctx, choice.Member)
+		if err == nil && look.Role == bbrmessage.RolePrimary && look.Term > c.old.Term {
+			choice.Term = look.Term
+			return nil
+		}
+		sleep(ctx, stepPause)
+	}
+	return errors.New("the promoted member does not lead in time")
+}
+
+// name enters the new primary in the record and tidies up.
+func (c *change) name(ctx context.Context, record bbrsuccession.Record, choice bbrsuccession.Choice) error {
+	record.Phase, record.Primary, record.Term = bbrsuccession.PhaseNamed, choice.Member, choice.Term
+	c.group.SetPrimary(bbrlink.Primary{Member: choice.Member, Term: choice.Term})
+	c.log.WithFields(logrus.Fields{"member": choice.Member, "term": choice.Term, "tookMs": c.node.clock.Now().Sub(c.began).Milliseconds()}).Info("change of primary done")
+	err := c.write(ctx, record)
+	c.release(ctx, choice)
+	return errors.Wrap(err, "name the new primary")
+}
+
+// release lets the replicas receive again and tells the old primary to follow.
+func (c *change) release(ctx context.Context, choice bbrsuccession.Choice) {
+	c.node.ask(ctx, c.group, func(ctx context.Context, id bbrtype.MemberName) (bbrmessage.Look, error) {
+		if id == choice.Member {
+			return bbrmessage.Look{}, nil
+		}
+		if id == c.old.Member {
+			return c.group.StepDown(ctx, id, choice.Term)
+		}
+		return c.group.Resume(ctx, id)
+	})
+}
+
+// giveUp undoes what a change has done so far.
+func (c *change) giveUp(ctx context.Context) {
+	c.node.ask(ctx, c.group, func(ctx context.Context, id bbrtype.MemberName) (bbrmessage.Look, error) {
+		if id == c.old.Member {
+			return bbrmessage.Look{}, nil
+		}
+		return c.group.Resume(ctx, id)
+	})
+	r := c.known.Record
+	r.Phase = bbrsuccession.PhaseNamed
+	if r.Primary == "" {
+		r.Primary, r.Term = c.old.Member, c.old.Term
+	}
+	if err := c.write(ctx, r); err != nil {
+		c.log.WithError(err).Warn("the claim stays until it runs out")
+	}
+}
+
+// looks asks all members of a group for their state.
+func (n *Node) looks(ctx context.Context, g *bbrlink.Group) []bbrsuccession.Candidate {
+	return n.ask(ctx, g, g.LookAt)
+}
+
+// ask puts a question to all members of a group at once.
+func (n *Node) ask(ctx context.Context, g *bbrlink.Group, question func(context.Context, bbrtype.MemberName) (bbrmessage.Look, error)) []bbrsuccession.Candidate {
+	members := g.Members()
+	answers := make(chan bbrsuccession.Candidate, len(members))
+	for _, m := range members {
+		n.aside(func() {
+			look, err := question(ctx, m.ID)
+			answers <- bbrsuccession.Candidate{ID: m.ID, Draining: m.Draining, Answered: err == nil, Look: look}
+		})
+	}
+	out := make([]bbrsuccession.Candidate, 0, len(members))
+	for range members {
+		out = append(out, <-answers)
+	}
+	return out
+}
--- /dev/null
+++ b/bbrnode/keeper.go
@@ -0,0 +1,134 @@
+package bbrnode
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/bluebellroute/bluebellroute/bbrlink"
+	"github.com/bluebellroute/bluebellroute/bbrmessage"
+	"github.com/bluebellroute/bluebellroute/bbrproof"
+	"github.com/bluebellroute/bluebellroute/bbrsuccession"
+	"github.com/bluebellroute/bluebellroute/bbrtype"
+)
+
+const (
+	// keepEvery is how often an instance looks after its groups.
+	keepEvery = 100 * time.Millisecond
+	// countEvery is how often the instances are counted.
+	countEvery = 12 * time.Second
+	// sampleBefore is the age of the newest sample of the primary's position at
+	// which another one is taken.
+	sampleBefore = 800 * time.Millisecond
+	// lookEvery is how often members are looked at while the primary is unknown or
+	// does not answer.
+	lookEvery = 250 * time.Millisecond
+)
+
+// keep looks after the groups until ctx ends.
+func (n *Node) keep(ctx context.Context) {
+	looked := map[bbrtype.GroupName]bbrtype.Mono{}
+	for ctx.Err() == nil {
+		n.mu.Lock()
+		if n.directory.Expire(n.clock.Now()) {
+			n.refreshGroups()
+		}
+		n.mu.Unlock()
+		for _, g := range n.allGroups() {
+			g.Trim()
+			if n.clock.Now().Sub(looked[g.Name()]) < lookEvery {
+				continue
+			}
+			if n.look(ctx, g) {
+				looked[g.Name()] = n.clock.Now()
+			}
+		}
+		sleep(ctx, keepEvery)
+	}
+}
+
+// look does for a group what is due. It reports whether members are looked at.
+func (n *Node) look(ctx context.Context, g *bbrlink.Group) bool {
+	p := g.Primary()
+	switch {
+	case p.Member == "":
+		n.aside(func() { n.identify(ctx, g) })
+	case g.Failing(p.Member) != 0:
+		n.aside(func() { n.examine(ctx, g, p) })
+	case n.isDue(g, p):
+		n.aside(func() { n.change(ctx, g, p) })
+	case n.clock.Now().Sub(g.Newest()) > sampleBefore:
+		n.aside(func() { g.Prove(ctx) })
+	default:
+		return false
+	}
+	return true
+}
+
+// aside runs work without waiting for it.
+func (n *Node) aside(f func()) {
+	n.work.Go(func() error {
+		f()
+		return nil
+	})
+}
+
+// identify finds the primary by looking at all members.
+func (n *Node) identify(ctx context.Context, g *bbrlink.Group) {
+	if !n.hasLoaded(groupTable) {
+		return
+	}
+	known := n.known(g.Name())
+	if r := known.Record; r.Phase == bbrsuccession.PhaseNamed {
+		g.SetPrimary(bbrlink.Primary{Member: r.Primary, Term: r.Term})
+	}
+	best := bbrsuccession.Candidate{}
+	for _, c := range n.looks(ctx, g) {
+		if c.Answered && c.Look.Role == bbrmessage.RolePrimary && c.Look.Term >= best.Look.Term {
+			best = c
+		}
+	}
+	if best.ID == "" || best.Look.Term <= g.Primary().Term {
+		return
+	}
+	p := bbrlink.Primary{Member: best.ID, Term: best.Look.Term}
+	if known.Version != 0 {
+		// The change may not be over: older proofs have to run out first.
+		p.UsableFrom = n.clock.Now().Add(bbrproof.Lease)
+	}
+	g.SetPrimary(p)
+}
+
+// examine looks at members while the primary does not answer, and changes it if
+// that is due.
+func (n *Node) examine(ctx context.Context, g *bbrlink.Group, p bbrlink.Primary) {
+	if _, err := g.LookAt(ctx, p.Member); err == nil {
+		return
+	}
+	n.identify(ctx, g)
+	if g.Primary() == p && n.isDue(g, p) {
+		n.change(ctx, g, p)
+	}
+}
+
+// isDue reports whether the primary is to be replaced.
+func (n *Node) isDue(g *bbrlink.Group, p bbrlink.Primary) bool {
+	s := bbrsuccession.Situation{FailingSince: g.Failing(p.Member), Gone: true}
+	for _, m := range g.Members() {
+		if m.ID == p.Member {
+			s.Gone, s.Draining = false, m.Draining
+		}
+	}
+	why, due := bbrsuccession.Due(s, n.clock.Now())
+	if due {
+		n.log.WithFields(logrus.Fields{"group": g.Name(), "primary": p.Member, "term": p.Term, "why": why}).Debug("a change of primary is due")
+	}
+	return due
+}
+
+func (n *Node) hasLoaded(name string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.loaded[name]
+}
--- /dev/null
+++ b/bbrnode/node.go
@@ -0,0 +1,335 @@
+// Package bbrnode puts together an instance that meets its platform through
+// interfaces: where configurations and members come from, how callers and members
+// are spoken to, and who carries out a promotion.
+//
+// # Usage
+//
+//	n := bbrnode.New(settings, ports, log)
+//	err := n.Run(ctx)
+package bbrnode
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bluebellroute/bluebellroute/bbrcatalog"
+	"github.com/bluebellroute/bluebellroute/bbrdirectory"
+	"github.com/bluebellroute/bluebellroute/bbrlink"
+	"github.com/bluebellroute/bluebellroute/bbrmessage"
+	"github.com/bluebellroute/bluebellroute/bbrrows"
+	"github.com/bluebellroute/bluebellroute/bbrsession"
+	"github.com/bluebellroute/bluebellroute/bbrsuccession"
+	"github.com/bluebellroute/bluebellroute/bbrtype"
+)
+
+// Tables of the system's own.
+const (
+	groupTable    = "groups"
+	instanceTable = "instances"
+)
+
+// Source tells where configurations and members are kept, and reads them.
+type Source struct {
+	ConfigTable, ConfigKey, MemberTable string
+
+	DecodeCatalogue func([]byte) (*bbrcatalog.Catalogue, error)
+	DecodeMember    func(id string, entry []byte) (bbrdirectory.Member, error)
+}
+
+// Promoter carries out promotions.
+type Promoter interface {
+	Promote(ctx context.Context, o bbrsuccession.Order) error
+}
+
+// Ports are the ways to an instance's platform.
+type Ports struct {
+	Source
+	Rows     bbrrows.Rows
+	Promoter Promoter
+	Caller   func(net.Conn) bbrmessage.CallerConn
+	Dial     bbrlink.Dialer
+	// Watch prepares a caller's connection, so that it is found when it goes silent.
+	Watch func(net.Conn)
+	// ReadyPath is where the platform asks whether the instance takes callers.
+	ReadyPath string
+}
+
+// Node is one instance.
+type Node struct {
+	settings *Settings
+	ports    Ports
+	log      logrus.FieldLogger
+	clock    *bbrtype.Clock
+	work     *errgroup.Group
+	catalog  bbrcatalog.Holder
+	sessions *bbrsession.Server
+	metrics  *metrics
+
+	mu        sync.Mutex
+	directory bbrdirectory.Directory
+	records   map[bbrtype.GroupName]bbrsuccession.Known
+	groups    map[bbrtype.GroupName]*bbrlink.Group
+	instances int
+	// loaded are the tables that were read whole.
+	loaded   map[string]bool
+	stopping bool
+	badSeen  map[string]int64
+	// changing are the groups whose change of primary this instance makes.
+	changing map[bbrtype.GroupName]bool
+}
+
+// New returns an instance that does not run yet.
+func New(s *Settings, p Ports, log logrus.FieldLogger) *Node {
+	n := &Node{
+		settings: s, ports: p, log: log, clock: bbrtype.NewClock(), work: &errgroup.Group{},
+		metrics:  newMetrics(),
+		records:  map[bbrtype.GroupName]bbrsuccession.Known{},
+		groups:   map[bbrtype.GroupName]*bbrlink.Group{},
+		loaded:   map[string]bool{},
+		badSeen:  map[string]int64{},
+		changing: map[bbrtype.GroupName]bool{},
+	}
+	n.sessions = bbrsession.New(bbrsession.Deps{
+		Catalog: &n.catalog, Group: n.group, Clock: n.clock, Log: log, Work: n.work, Record: n.metrics,
+	})
+	return n
+}
+
+// group returns a group that is in service.
+func (n *Node) group(name bbrtype.GroupName) *bbrlink.Group {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.groups[name]
+}
+
+// allGroups returns the groups in service.
+func (n *Node) allGroups() []*bbrlink.Group {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := make([]*bbrlink.Group, 0, len(n.groups))
+	for _, g := range n.groups {
+		out = append(out, g)
+	}
+	return out
+}
+
+// instanceCount returns the number of instances that share the members.
+func (n *Node) instanceCount() int { return max(1, n.instances) }
+
+// configTable follows the operator's configurations.
+func (n *Node) configTable() table {
+	take := func(rows []bbrrows.Row) {
+		for _, r := range rows {
+			if r.Key == n.ports.ConfigKey && !r.Deleted {
+				n.takeCatalogue(r.Value)
+			}
+		}
+	}
+	return table{name: n.ports.ConfigTable, replace: func(rows []bbrrows.Row) {
+		take(rows)
+		n.markLoaded(n.ports.ConfigTable)
+	}, apply: take}
+}
+
+func (n *Node) takeCatalogue(b []byte) {
+	c, err := n.ports.DecodeCatalogue(b)
+	if err != nil {
+		n.log.WithError(err).Error("configuration refused")
+		return
+	}
+	if !n.catalog.Offer(c) {
+		return
+	}
+	n.log.WithFields(logrus.Fields{"version": c.Version, "routes": len(c.Routes)}).Info("configuration in force")
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.refreshGroups()
+}
+
+// memberTable follows the members' directory.
+func (n *Node) memberTable() table {
+	return table{
+		name: n.ports.MemberTable,
+		replace: func(rows []bbrrows.Row) {
+			var all []bbrdirectory.Member
+			for _, r := range rows {
+				if m, ok := n.decodeMember(r); ok {
+					all = append(all, m)
+				}
+			}
+			n.mu.Lock()
+			n.directory.Replace(all, n.clock.Now())
+			n.refreshGroups()
+			n.mu.Unlock()
+			n.markLoaded(n.ports.MemberTable)
+		},
+		apply: n.applyMembers,
+		trouble: func() {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.directory.Trouble(n.clock.Now())
+		},
+	}
+}
+
+func (n *Node) applyMembers(rows []bbrrows.Row) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, r := range rows {
+		if r.Deleted {
+			n.log.WithField("member", r.Key).Info("member's entry gone")
+			n.directory.Remove(bbrtype.MemberName(r.Key), n.clock.Now())
+			continue
+		}
+		if m, ok := n.decodeMember(r); ok {
+			n.directory.Put(m)
+		}
+	}
+	n.refreshGroups()
+}
+
+// decodeMember reads an entry. A bad one is told once and left out.
+func (n *Node) decodeMember(r bbrrows.Row) (bbrdirectory.Member, bool) {
+	m, err := n.ports.DecodeMember(r.Key, r.Value)
+	if err == nil {
+		return m, true
+	}
+	if _, seen := n.badSeen[r.Key]; !seen {
+		n.badSeen[r.Key] = r.Version
+		n.log.WithField("member", r.Key).WithError(err).Warn("entry left out")
+	}
+	return m, false
+}
+
+// refreshGroups puts members and services in force. The caller holds mu.
+func (n *Node) refreshGroups() {
+	c := n.catalog.Current()
+	if c == nil {
+		return
+	}
+	for name, service := range c.Services {
+		members := n.directory.Members(name)
+		g := n.groups[name]
+		if g == nil {
+			if len(members) == 0 {
+				continue
+			}
+			g = bbrlink.NewGroup(name, bbrlink.Deps{
+				Dial: n.ports.Dial, Clock: n.clock, Log: n.log, Group: n.work,
+				DataCentre: n.settings.DataCentre, Instances: n.instanceCount,
+			})
+			n.groups[name] = g
+		}
+		g.SetMembers(members, service)
+	}
+}
+
+// recordTable follows the groups' records.
+func (n *Node) recordTable() table {
+	take := func(rows []bbrrows.Row) {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		for _, r := range rows {
+			n.takeRecord(r)
+		}
+	}
+	return table{name: groupTable, replace: func(rows []bbrrows.Row) {
+		take(rows)
+		n.markLoaded(groupTable)
+	}, apply: take}
+}
+
+// takeRecord takes in a group's record. The caller holds mu.
+func (n *Node) takeRecord(r bbrrows.Row) {
+	var rec bbrsuccession.Record
+	if err := json.Unmarshal(r.Value, &rec); err != nil {
+		n.log.WithField("group", r.Key).WithError(err).Error("record left out")
+		return
+	}
+	n.noteRecord(bbrtype.GroupName(r.Key), rec, r.Version)
+}
+
+// noteRecord enters a record that is newer than the one known. The caller holds
+// mu.
+func (n *Node) noteRecord(name bbrtype.GroupName, rec bbrsuccession.Record, version int64) {
+	if old := n.records[name]; old.Version >= version {
+		return
+	}
+	n.records[name] = bbrsuccession.Known{Record: rec, Version: version, SeenAt: n.clock.Now()}
+	n.log.WithFields(logrus.Fields{"group": name, "phase": rec.Phase, "holder": rec.Holder, "fence": rec.Fence, "primary": rec.Primary, "term": rec.Term}).Info("record of the group")
+	if g := n.groups[name]; g != nil && rec.Phase == bbrsuccession.PhaseNamed && rec.Term > g.Primary().Term {
+		g.SetPrimary(bbrlink.Primary{Member: rec.Primary, Term: rec.Term})
+	}
+}
+
+// known returns what is known of a group's record.
+func (n *Node) known(name bbrtype.GroupName) bbrsuccession.Known {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.records[name]
+}
+
+func (n *Node) markLoaded(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.loaded[name] = true
+}
+
+// isReady reports whether the instance takes callers.
+func (n *Node) isReady() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.stopping || n.catalog.Current() == nil || len(n.groups) == 0 {
+		return false
+	}
+	for _, g := range n.groups {
+		if g.Primary().Member != "" {
+			return true
+		}
+	}
+	return false
+}
+
+// register enters the instance in the store and counts the others now and then.
+func (n *Node) register(ctx context.Context) {
+	me := bbrrows.RowName{Table: instanceTable, Key: n.settings.Name}
+	entry, err := json.Marshal(map[string]string{"dataCentre": string(n.settings.DataCentre)})
+	if err != nil {
+		n.log.WithError(err).Error("entry of the instance")
+		return
+	}
+	entered := false
+	for ctx.Err() == nil {
+		if !entered {
+			_, err := n.ports.Rows.Write(ctx, bbrrows.Change{Set: map[bbrrows.RowName][]byte{me: entry}})
+			entered = err == nil
+		}
+		if rows, _, err := n.ports.Rows.Read(ctx, instanceTable); err == nil {
+			n.mu.Lock()
+			n.instances = len(rows)
+			n.refreshGroups()
+			n.mu.Unlock()
+		}
+		wait := countEvery
+		if !entered {
+			wait = storePauseMost
+		}
+		sleep(ctx, wait)
+	}
+}
+
+// unregister takes the instance's entry out, so that others take its share.
+func (n *Node) unregister(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	me := bbrrows.RowName{Table: instanceTable, Key: n.settings.Name}
+	if _, err := n.ports.Rows.Write(ctx, bbrrows.Change{Remove: []bbrrows.RowName{me}}); err != nil {
+		n.log.WithError(err).Warn("entry of the instance stays")
+	}
+}
--- /dev/null
+++ b/bbrplace/place.go
@@ -0,0 +1,301 @@
+// Package bbrplace decides which member of a group serves a statement, and who
+// waits until one has room. The package is pure: it holds no lock and reads no
+// clock.
+//
+// Each member has room for a number of statements of this instance. A read goes
+// to the member with the least expected wait among those that are fresh enough;
+// the primary is kept for what only it can do. Who finds no room waits in order
+// of priority, then of arrival, for any member that may serve the statement.
+//
+// # Usage
+//
+//	var b bbrplace.Board
+//	b.SetMember(bbrplace.Member{ID: "m1", Primary: true, Limit: 3})
+//	w := &bbrplace.Waiter{Want: want, Granted: func(id bbrtype.MemberName) { … }}
+//	b.Ask(w, now)
+//	…
+//	b.Release("m1", now)
+package bbrplace
+
+import (
+	"slices"
+	"time"
+
+	"github.com/bluebellroute/bluebellroute/bbrmessage"
+	"github.com/bluebellroute/bluebellroute/bbrtype"
+)
+
+const (
+	// usualAnswer is the expected time of an answer before one was seen.
+	usualAnswer = 20 * time.Millisecond
+	// otherDataCentre is what an answer from another data centre is taken to
+	// cost beyond its time: bytes between data centres are dear.
+	otherDataCentre = 4 * time.Millisecond
+	// primaryFactor raises the expected wait at the primary for work that
+	// replicas can do.
+	primaryFactor = 1.6
+	// laggingPause is how long a replica is left out for positions that it refused.
+	laggingPause = 150 * time.Millisecond
+	// busyPause is how long a member that turned work away is left out.
+	busyPause = 30 * time.Millisecond
+	// suspectPause is how long a member that did not answer is left out.
+	suspectPause = 500 * time.Millisecond
+	// answerWeight is the weight of the newest answer in the moving average.
+	answerWeight = 0.15
+)
+
+// Member is what the board knows of a member.
+type Member struct {
+	ID      bbrtype.MemberName
+	Primary bool
+	// Near is set for a member in the instance's own data centre.
+	Near bool
+	// Leaving members take no new work that others can do.
+	Leaving bool
+	// Limit is the number of statements that may be at work there at once.
+	Limit int
+}
+
+// seat is a member with what its answers told.
+type seat struct {
+	Member
+	inUse   int
+	answer  time.Duration
+	applied bbrmessage.Place
+	// refused is the least position that it lacked at refusedAt.
+	refused   bbrmessage.Place
+	refusedAt bbrtype.Mono
+	pausedTo  bbrtype.Mono
+	failures  int
+}
+
+// Want is what a statement needs.
+type Want struct {
+	// PrimaryOnly is set for what only the primary can do.
+	PrimaryOnly bool
+	// NoPrimary is set while the primary's data can't be shown to be fresh.
+	NoPrimary bool
+	// Floor is the least log position of a replica.
+	Floor bbrmessage.Place
+	// Avoid are members that were tried already.
+	Avoid []bbrtype.MemberName
+	// Only names the one member that will do, empty for any.
+	Only     bbrtype.MemberName
+	Priority int
+	Deadline bbrtype.Mono
+}
+
+// Waiter is a statement that asks for a member.
+type Waiter struct {
+	Want
+	// Granted is called once, when the statement has a member.
+	Granted func(bbrtype.MemberName)
+
+	order  uint64
+	queued bool
+}
+
+// Board holds the members of a group and the statements that wait. The zero
+// value is empty.
+type Board struct {
+	seats   map[bbrtype.MemberName]*seat
+	waiting []*Waiter
+	order   uint64
+}
+
+// SetMember enters a member or changes it.
+func (b *Board) SetMember(m Member) {
+	if b.seats == nil {
+		b.seats = map[bbrtype.MemberName]*seat{}
+	}
+	s := b.seats[m.ID]
+	if s == nil {
+		s = &seat{answer: usualAnswer}
+		b.seats[m.ID] = s
+	}
+	s.Member = m
+}
+
+// Forget drops a member.
+func (b *Board) Forget(id bbrtype.MemberName) { delete(b.seats, id) }
+
+// Has reports whether a member is known.
+func (b *Board) Has(id bbrtype.MemberName) bool { return b.seats[id] != nil }
+
+// Waiting returns the number of statements that wait.
+func (b *Board) Waiting() int { return len(b.waiting) }
+
+// Ask grants a member at once or lets the statement wait.
+func (b *Board) Ask(w *Waiter, now bbrtype.Mono) {
+	if s := b.pick(&w.Want, now); s != nil {
+		s.inUse++
+		w.Granted(s.ID)
+		return
+	}
+	b.order++
+	w.order = b.order
+	w.queued = true
+	i, _ := slices.BinarySearchFunc(b.waiting, w, compareWaiters)
+	b.waiting = slices.Insert(b.waiting, i, w)
+}
+
+// compareWaiters orders by priority, then by arrival.
+func compareWaiters(a, b *Waiter) int {
+	if a.Priority != b.Priority {
+		return a.Priority - b.Priority
+	}
+	if a.order < b.order {
+		return -1
+	}
+	return 1
+}
+
+// Remove takes out a statement that gave up. It returns false if it was granted
+// a member already.
+func (b *Board) Remove(w *Waiter) bool {
+	if !w.queued {
+		return false
+	}
+	w.queued = false
+	b.waiting = slices.DeleteFunc(b.waiting, func(o *Waiter) bool { return o == w })
+	return true
+}
+
+// Release notes that a statement has left a member.
+func (b *Board) Release(id bbrtype.MemberName, now bbrtype.Mono) {
+	if s := b.seats[id]; s != nil && s.inUse > 0 {
+		s.inUse--
+	}
+	b.Dispatch(now)
+}
+
+// Dispatch grants members to those that wait, as far as there is room.
+func (b *Board) Dispatch(now bbrtype.Mono) {
+	var granted []*Waiter
+	rest := b.waiting[:0]
+	var ids []bbrtype.MemberName
+	for _, w := range b.waiting {
+		s := b.pick(&w.Want, now)
+		if s == nil {
+			rest = append(rest, w)
+			continue
+		}
+		s.inUse++
+		w.queued = false
+		granted, ids = append(granted, w), append(ids, s.ID)
+	}
+	clear(b.waiting[len(rest):])
+	b.waiting = rest
+	for i, w := range granted {
+		w.Granted(ids[i])
+	}
+}
+
+// pick returns the member with room and the least expected wait, nil if none of
+// those that may serve has room.
+func (b *Board) pick(w *Want, now bbrtype.Mono) *seat {
+	var best *seat
+	var bestCost time.Duration
+	for _, s := range b.seats {
+		if !s.canServe(w, now) || s.inUse >= s.Limit {
+			continue
+		}
+		cost := s.cost(w)
+		if best == nil || cost < bestCost || cost == bestCost && s.ID < best.ID {
+			best, bestCost = s, cost
+		}
+	}
+	return best
+}
+
+// canServe reports whether a member may serve a statement.
+func (s *seat) canServe(w *Want, now bbrtype.Mono) bool {
+	if w.Only != "" {
+		return s.ID == w.Only
+	}
+	if w.PrimaryOnly {
+		return s.Primary
+	}
+	if slices.Contains(w.Avoid, s.ID) || now < s.pausedTo {
+		return false
+	}
+	if s.Primary {
+		return !w.NoPrimary
+	}
+	return !s.Leaving && s.isFresh(w.Floor, now)
+}
+
+// isFresh reports whether a replica is expected to have a position.
+func (s *seat) isFresh(floor bbrmessage.Place, now bbrtype.Mono) bool {
+	if !s.applied.IsBefore(floor) {
+		return true
+	}
+	if s.refused.IsZero() || floor.IsBefore(s.refused) {
+		return true
+	}
+	return now.Sub(s.refusedAt) > laggingPause
+}
+
+// cost is the expected wait at a member for a statement that it has room for.
+func (s *seat) cost(w *Want) time.Duration {
+	cost := s.answer * time.Duration(1+s.inUse)
+	if s.Primary && !w.PrimaryOnly {
+		cost = time.Duration(float64(cost) * primaryFactor)
+	}
+	if !s.Near {
+		cost += otherDataCentre
+	}
+	return cost
+}
+
+// Answered notes an answer: how long it took, and the position it showed.
+func (b *Board) Answered(id bbrtype.MemberName, took time.Duration, applied bbrmessage.Place) {
+	s := b.seats[id]
+	if s == nil {
+		return
+	}
+	s.failures = 0
+	s.answer += time.Duration(answerWeight * float64(took-s.answer))
+	s.applied = bbrmessage.Latest(s.applied, applied)
+}
+
+// Refused notes that a replica lacked a position.
+func (b *Board) Refused(id bbrtype.MemberName, floor bbrmessage.Place, now bbrtype.Mono) {
+	if s := b.seats[id]; s != nil {
+		s.refused, s.refusedAt = floor, now
+	}
+}
+
+// TurnedAway notes that a member had no room.
+func (b *Board) TurnedAway(id bbrtype.MemberName, now bbrtype.Mono) {
+	if s := b.seats[id]; s != nil {
+		s.pausedTo = now.Add(busyPause)
+	}
+}
+
+// Failed notes that a member did not answer.
+func (b *Board) Failed(id bbrtype.MemberName, now bbrtype.Mono) {
+	if s := b.seats[id]; s != nil {
+		s.failures++
+		s.pausedTo = now.Add(suspectPause)
+	}
+}
+
+// MayServe reports whether any member may serve a statement, now or when it has
+// room.
+func (b *Board) MayServe(w *Want, now bbrtype.Mono) bool {
+	for _, s := range b.seats {
+		if s.canServe(w, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// Occupy enters a statement at a member beyond its limit, for looks that can't
+// wait.
+func (b *Board) Occupy(id bbrtype.MemberName) {
+	if s := b.seats[id]; s != nil {
+		s.inUse++
+	}
+}
--- /dev/null
+++ b/bbrtype/clock.go
@@ -0,0 +1,43 @@
+package bbrtype
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Mono is a reading of a clock that never jumps and that runs on while the
+// machine is suspended: the time since an arbitrary start. Readings of two
+// processes can't be compared.
+type Mono time.Duration
+
+// Add returns the reading d later.
+func (m Mono) Add(d time.Duration) Mono { return m + Mono(d) }
+
+// Sub returns the time from o to m.
+func (m Mono) Sub(o Mono) time.Duration { return time.Duration(m - o) }
+
+// Clock returns readings of CLOCK_BOOTTIME. Go's own monotonic clock stands
+// still while a machine is suspended, so that a lease measured by it would
+// outlive its time.
+type Clock struct{ start time.Duration }
+
+// firstReading is the first reading of a clock, so that the zero reading lies
+// safely in the past.
+const firstReading = time.Hour
+
+// NewClock starts a clock. Its first reading is one hour.
+func NewClock() *Clock { return &Clock{start: sinceBoot() - firstReading} }
+
+// Now returns the present reading.
+func (c *Clock) Now() Mono { return Mono(sinceBoot() - c.start) }
+
+// sinceBoot returns the time since the machine started, suspended time included.
+func sinceBoot() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		// Every Linux kernel that Go supports has this clock.
+		panic("no CLOCK_BOOTTIME: " + err.Error())
+	}
+	return time.Duration(ts.Nano())
+}
--- a/bbrtype/type.go
+++ b/bbrtype/type.go
@@ -11,7 +11,6 @@
 	"fmt"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/pkg/errors"
 )
@@ -75,23 +74,3 @@
 	}
 	return Position(h<<32 | l), nil
 }
-
-// Mono is a reading of the monotonic clock of one process: the time since an
-// arbitrary start. Readings of two processes can't be compared.
-type Mono time.Duration
-
-// Add returns the reading d later.
-func (m Mono) Add(d time.Duration) Mono { return m + Mono(d) }
-
-// Sub returns the time from o to m.
-func (m Mono) Sub(o Mono) time.Duration { return time.Duration(m - o) }
-
-// Clock returns readings of a monotonic clock.
-type Clock struct{ start time.Time }
-
-// NewClock starts a clock. Its first reading is one hour, so that the zero
-// reading lies safely in the past.
-func NewClock() *Clock { return &Clock{start: time.Now().Add(-time.Hour)} }
-
-// Now returns the present reading.
-func (c *Clock) Now() Mono { return Mono(time.Since(c.start)) }
--- /dev/null
+++ b/cmd/bbrnode/main.go
@@ -0,0 +1,55 @@
+// Command bbrnode runs an instance on the users' platform.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+	"github.com/urfave/cli/v3"
+
+	"github.com/bluebellroute/bluebellroute/bbrnode"
+	"github.com/bluebellroute/bluebellroute/platform"
+)
+
+func main() {
+	// Signals may come at any moment, also before anything is read.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	app := &cli.Command{
+		Name:  "bbrnode",
+		Usage: "run an instance on the users' platform",
+		Commands: []*cli.Command{{
+			Name:  "serve",
+			Usage: "serve callers until told to stop",
+			Flags: []cli.Flag{
+				&cli.StringFlag{Name: "settings", Usage: "`FILE` with the settings of the process", Sources: cli.EnvVars(platform.SettingsVariable)},
+				&cli.BoolFlag{Name: "check", Usage: "check the settings and end"},
+			},
+			Action: func(ctx context.Context, cmd *cli.Command) error { return serve(ctx, cmd, reload) },
+		}},
+	}
+	if err := app.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "bbrnode:", err)
+		os.Exit(1)
+	}
+}
+
+func serve(ctx context.Context, cmd *cli.Command, reload <-chan os.Signal) error {
+	file := cmd.String("settings")
+	s, err := bbrnode.LoadSettings(file)
+	if err != nil || cmd.Bool("check") {
+		return err
+	}
+	log := logrus.New()
+	log.SetOutput(os.Stdout)
+	log.SetLevel(s.LogLevel)
+	log.SetFormatter(&logrus.JSONFormatter{})
+	n := bbrnode.New(s, platform.Ports(s.Store, s.Promoter, s.Name), log)
+	return n.Run(ctx, func() (*bbrnode.Settings, error) { return bbrnode.LoadSettings(file) }, reload)
+}
