Prove a primary by commits and the store's record, not by one replica

A promotion ends the hold at the replica that was not promoted; a look at it then showed no barrier, and the old primary counted as proven. And a replica was promoted that lacked commits, since the one that had them had left with its log. Ruled out: leases that ran wrongly; addresses used again. Change: a proof is a commit that a replica confirmed, or the group's record in the store without a claim; without the store, looks at all members, of which none may be silent. A member that lacks a commit known to be acknowledged is not promoted. The old primary steps down once the barrier is reached. Claims are renewed.

--- a/bbrlink/evidence.go
+++ b/bbrlink/evidence.go
@@ -5,9 +5,11 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/bluebellroute/bluebellroute/bbrmessage"
 	"github.com/bluebellroute/bluebellroute/bbrplace"
+	"github.com/bluebellroute/bluebellroute/bbrproof"
 	"github.com/bluebellroute/bluebellroute/bbrtype"
 )
 
@@ -37,6 +39,8 @@
 			g.board.Refused(id, e.Floor, now)
 		case bbrmessage.ClassBusy:
 			g.board.TurnedAway(id, now)
+		case bbrmessage.ClassReadOnly:
+			g.noteDemoted(id, now)
 		}
 		return
 	}
@@ -44,12 +48,38 @@
 	if id != g.primary.Member {
 		return
 	}
+	if e.Commit {
+		g.acked = bbrmessage.Latest(g.acked, e.Reply.Place)
+	}
 	if e.Commit && e.Reply.Place.Term == g.primary.Term && g.service.SyncReplicas > 0 {
 		g.proof.Prove(g.primary.Term, e.SentAt)
 	}
 	g.proof.Observe(e.Reply.Place, e.SentAt)
 }
 
+// noteDemoted takes in that the primary in use said that it does not lead.
+func (g *Group) noteDemoted(id bbrtype.MemberName, now bbrtype.Mono) {
+	if id == g.primary.Member && g.demotedAt == 0 {
+		g.demotedAt = now
+		g.Log.WithFields(logrus.Fields{"group": g.name, "member": id, "term": g.primary.Term}).Info("the primary in use does not lead")
+	}
+}
+
+// Demoted returns when the primary in use first said that it does not lead, 0 if
+// it did not.
+func (g *Group) Demoted() bbrtype.Mono {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.demotedAt
+}
+
+// Acked returns the newest position that a member acknowledged to this instance.
+func (g *Group) Acked() bbrmessage.Place {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.acked
+}
+
 // NoteSilence takes in that a member did not answer.
 func (g *Group) NoteSilence(id bbrtype.MemberName) {
 	g.mu.Lock()
@@ -81,8 +111,11 @@
 	return g.proof.Floor(at, maxAge)
 }
 
-// Prove looks at the primary and at a replica, so that the primary in use is
-// proven for the present. Callers that ask meanwhile share the looks.
+// proveGap is the least time between two proofs that are asked for.
+const proveGap = 100 * time.Millisecond
+
+// Prove gets a proof of the primary in use and its position. Callers that ask
+// meanwhile share it.
 func (g *Group) Prove(ctx context.Context) {
 	g.mu.Lock()
 	if under := g.proving; under != nil {
@@ -96,52 +129,119 @@
 	done := make(chan struct{})
 	g.proving = done
 	p := g.primary
+	wait := g.provedAt.Add(proveGap).Sub(g.Clock.Now())
 	g.mu.Unlock()
-	g.prove(ctx, p)
+	g.prove(ctx, p, wait)
 	g.mu.Lock()
 	g.proving = nil
+	g.provedAt = g.Clock.Now()
 	g.mu.Unlock()
 	close(done)
 }
 
-// prove looks at the members and notes a proof if no barrier shows.
-func (g *Group) prove(ctx context.Context, p Primary) {
+// prove asks the store whether a change has begun, and the primary for its
+// position. If the store does not answer, the members are asked.
+func (g *Group) prove(ctx context.Context, p Primary, wait time.Duration) {
+	if wait > 0 {
+		pause(ctx, wait)
+	}
+	if p.Member == "" {
+		return
+	}
+	vouched := make(chan error, 1)
+	g.Group.Go(func() error {
+		vouched <- g.Vouch(ctx)
+		return nil
+	})
 	sentAt := g.Clock.Now()
-	type seen struct {
-		look    bbrmessage.Look
-		primary bool
-		err     error
+	look, err := g.LookAt(ctx, p.Member)
+	if err == nil && look.Role == bbrmessage.RolePrimary && look.Term == p.Term {
+		g.observe(look.Received, sentAt)
+	}
+	if <-vouched != nil {
+		g.proveByMembers(ctx, p)
+	}
+}
+
+// pause waits or returns early when ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
 	}
+}
+
+// ProveTerm notes that no change of primary had begun when a question was sent.
+func (g *Group) ProveTerm(term bbrtype.Term, sentAt bbrtype.Mono) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.proof.Prove(term, sentAt)
+}
+
+// proveByMembers looks at all members. Only if each one answers, and none but the
+// primary leads or holds, no change can have got to its end: a replica that
+// forgets what it held may follow another primary already.
+func (g *Group) proveByMembers(ctx context.Context, p Primary) {
+	sentAt := g.Clock.Now()
 	members := g.Members()
-	results := make(chan seen, len(members))
+	results := make(chan LookResult, len(members))
 	for _, m := range members {
 		g.Group.Go(func() error {
 			l, err := g.LookAt(ctx, m.ID)
-			results <- seen{look: l, primary: m.ID == p.Member, err: err}
+			results <- LookResult{Member: m.ID, Look: l, Err: err}
 			return nil
 		})
 	}
-	leads, follows := false, false
+	var all []LookResult
 	for range members {
-		s := <-results
-		if s.err != nil {
-			continue
+		all = append(all, <-results)
+	}
+	if newer, ok := newerPrimary(all, p.Term); ok {
+		// Older proofs of other instances have to run out first.
+		newer.UsableFrom = g.Clock.Now().Add(bbrproof.Lease)
+		g.SetPrimary(newer)
+		return
+	}
+	if showsNoChange(all, p) {
+		g.ProveTerm(p.Term, sentAt)
+	}
+}
+
+// LookResult is what a look at a member showed.
+type LookResult struct {
+	Member bbrtype.MemberName
+	Look   bbrmessage.Look
+	Err    error
+}
+
+// newerPrimary returns the member that leads the newest term after a term.
+func newerPrimary(all []LookResult, term bbrtype.Term) (Primary, bool) {
+	best := Primary{Term: term}
+	for _, r := range all {
+		if r.Err == nil && r.Look.Role == bbrmessage.RolePrimary && r.Look.Term > best.Term {
+			best = Primary{Member: r.Member, Term: r.Look.Term}
 		}
-		if s.primary {
-			leads = s.look.Role == bbrmessage.RolePrimary && s.look.Term == p.Term
-			if leads {
-				g.observe(s.look.Received, sentAt)
-			}
-		} else if s.look.Term <= p.Term && s.look.Held <= p.Term {
-			follows = true
+	}
+	return best, best.Member != ""
+}
+
+// showsNoChange reports whether looks at all members show that the primary still
+// leads and that no replica holds or belongs to a newer term.
+func showsNoChange(all []LookResult, p Primary) bool {
+	leads := false
+	for _, r := range all {
+		if r.Err != nil || r.Look.Term > p.Term || r.Look.Held > p.Term {
+			return false
 		}
-		if leads && follows {
-			g.mu.Lock()
-			g.proof.Prove(p.Term, sentAt)
-			g.mu.Unlock()
-			return
+		isPrimary := r.Look.Role == bbrmessage.RolePrimary
+		if isPrimary != (r.Member == p.Member) {
+			return false
 		}
+		leads = leads || isPrimary && r.Look.Term == p.Term
 	}
+	return leads
 }
 
 // observe notes a position of the primary.
--- a/bbrlink/group.go
+++ b/bbrlink/group.go
@@ -58,6 +58,9 @@
 	DataCentre bbrtype.DataCentre
 	// Instances returns the number of instances that share the members.
 	Instances func() int
+	// Vouch asks the store whether changes of primary have begun, and notes the
+	// proofs by ProveTerm.
+	Vouch func(ctx context.Context) error
 }
 
 // Group is a database group with this instance's connections to it.
@@ -73,8 +76,12 @@
 	primary Primary
 	proof   bbrproof.Authority
 	contact map[bbrtype.MemberName]contact
-	// proving is closed when the look that is under way has ended.
-	proving chan struct{}
+	// proving is closed when the proof that is under way has ended.
+	proving  chan struct{}
+	provedAt bbrtype.Mono
+	// acked is the newest position acknowledged to this instance.
+	acked     bbrmessage.Place
+	demotedAt bbrtype.Mono
 }
 
 // Primary is the primary that an instance goes by.
@@ -130,13 +137,21 @@
 	g.refresh()
 }
 
+// Refresh gives the board the members as they are now.
+func (g *Group) Refresh() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.refresh()
+}
+
 // refresh gives the board the members as they are now.
 func (g *Group) refresh() {
 	limit := g.share()
+	usable := g.Clock.Now() >= g.primary.UsableFrom
 	for id, m := range g.members {
 		g.board.SetMember(bbrplace.Member{
 			ID:      id,
-			Primary: id == g.primary.Member,
+			Primary: id == g.primary.Member && usable,
 			Near:    m.DataCentre == g.DataCentre,
 			Leaving: m.Draining,
 			Limit:   limit,
@@ -161,8 +176,12 @@
 	}
 	g.Log.WithFields(logrus.Fields{"group": g.name, "member": p.Member, "term": p.Term, "before": g.primary.Member, "termBefore": g.primary.Term}).Info("primary in use")
 	g.primary = p
+	g.demotedAt = 0
 	g.proof.Reset(p.Term)
 	g.refresh()
+	if wait := p.UsableFrom.Sub(g.Clock.Now()); wait > 0 {
+		time.AfterFunc(wait, g.Refresh)
+	}
 }
 
 // Primary returns the primary in use.
--- a/bbrnode/change.go
+++ b/bbrnode/change.go
@@ -24,6 +24,8 @@
 	stepDownAfter = 300 * time.Millisecond
 	// promoteAgain is how long a promotion may take before it is ordered again.
 	promoteAgain = 2500 * time.Millisecond
+	// changeTime bounds a change. One that takes longer is given up and tried anew.
+	changeTime = 8 * time.Second
 )
 
 // change is a change of primary that this instance makes.
@@ -34,7 +36,9 @@
 	known bbrsuccession.Known
 	term  bbrtype.Term
 	began bbrtype.Mono
-	log   logrus.FieldLogger
+	// claimed is when the claim was last written.
+	claimed bbrtype.Mono
+	log     logrus.FieldLogger
 }
 
 // change replaces the primary of a group, if no other instance does.
@@ -44,7 +48,7 @@
 	}
 	defer n.leave(g.Name())
 	known := n.known(g.Name())
-	if !bbrsuccession.MayClaim(known, n.clock.Now()) {
+	if !bbrsuccession.MayClaim(known, n.settings.Name, n.clock.Now()) {
 		return
 	}
 	c := &change{
@@ -85,6 +89,10 @@
 		c.giveUp(ctx)
 		return err
 	}
+	if choice.Member != c.old.Member {
+		// From here on nothing that the old primary does may count.
+		c.node.aside(func() { _, _ = c.group.StepDown(ctx, c.old.Member, c.term) })
+	}
 	if choice.Decision == bbrsuccession.DecisionPromote {
 		if err := c.promote(ctx, &choice, record.Fence); err != nil {
 			c.giveUp(ctx)
@@ -92,12 +100,24 @@
 		}
 	}
 	sleep(ctx, barrier.Add(bbrproof.Lease).Sub(c.node.clock.Now()))
-	return c.name(ctx, record, choice)
+	return c.name(ctx, choice)
 }
 
-// inTime reports whether the claim still counts.
-func (c *change) inTime() bool {
-	return c.node.clock.Now().Sub(c.began) < bbrsuccession.ClaimTime
+// inTime reports whether the claim still counts and the change may go on. It
+// writes the claim again before it runs out.
+func (c *change) inTime(ctx context.Context) bool {
+	now := c.node.clock.Now()
+	if ctx.Err() != nil || now.Sub(c.began) > changeTime {
+		return false
+	}
+	if now.Sub(c.claimed) > bbrsuccession.RenewAfter {
+		r := c.known.Record
+		r.Renewed++
+		if err := c.write(ctx, r); err != nil {
+			c.log.WithError(err).Warn("the claim could not be renewed")
+		}
+	}
+	return c.node.clock.Now().Sub(c.claimed) < bbrsuccession.ClaimTime
 }
 
 // write changes the group's record if it is as known. A lost reply is read back.
@@ -107,6 +127,7 @@
 		return errors.Wrap(err, "encode the record")
 	}
 	row := bbrrows.RowName{Table: groupTable, Key: string(c.group.Name())}
+	sentAt := c.node.clock.Now()
 	version, err := c.node.ports.Rows.Write(ctx, bbrrows.Change{
 		Expected: map[bbrrows.RowName]int64{row: c.known.Version},
 		Set:      map[bbrrows.RowName][]byte{row: value},
@@ -120,6 +141,7 @@
 	defer c.node.mu.Unlock()
 	c.node.noteRecord(c.group.Name(), r, version)
 	c.known = c.node.records[c.group.Name()]
+	c.claimed = sentAt
 	return nil
 }
 
@@ -152,9 +174,12 @@
 func (c *change) reachBarrier(ctx context.Context) (bbrsuccession.Choice, bbrtype.Mono, error) {
 	c.term = bbrsuccession.NextTerm(c.node.looks(ctx, c.group), c.old.Term)
 	var why string
-	for c.inTime() && ctx.Err() == nil {
+	for c.inTime(ctx) {
 		looks := c.hold(ctx)
-		choice := bbrsuccession.Choose(looks, c.old.Member, c.term, c.group.Service().SyncReplicas)
+		choice := bbrsuccession.Choose(bbrsuccession.Question{
+			Members: looks, Old: c.old.Member, Term: c.term,
+			Sync: c.group.Service().SyncReplicas, Acked: c.group.Acked(),
+		})
 		if choice.Decision != bbrsuccession.DecisionWait {
 			c.log.WithFields(logrus.Fields{"decision": choice.Decision, "member": choice.Member, "term": choice.Term, "looks": looks}).Info("barrier reached")
 			return choice, c.node.clock.Now(), nil
@@ -183,7 +208,7 @@
 func (c *change) promote(ctx context.Context, choice *bbrsuccession.Choice, fence bbrsuccession.Fence) error {
 	order := bbrsuccession.Order{Group: c.group.Name(), Member: choice.Member, Fence: fence}
 	var ordered bbrtype.Mono
-	for c.inTime() && ctx.Err() == nil {
+	for c.inTime(ctx) {
 		if now := c.node.clock.Now(); ordered == 0 || now.Sub(ordered) > promoteAgain {
 			err := c.node.ports.Promoter.Promote(ctx, order)
 			if errors.Is(err, bbrsuccession.ErrRefused) {
@@ -206,11 +231,17 @@
 }
 
 // name enters the new primary in the record and tidies up.
-func (c *change) name(ctx context.Context, record bbrsuccession.Record, choice bbrsuccession.Choice) error {
+func (c *change) name(ctx context.Context, choice bbrsuccession.Choice) error {
+	record := c.known.Record
 	record.Phase, record.Primary, record.Term = bbrsuccession.PhaseNamed, choice.Member, choice.Term
 	c.group.SetPrimary(bbrlink.Primary{Member: choice.Member, Term: choice.Term})
 	c.log.WithFields(logrus.Fields{"member": choice.Member, "term": choice.Term, "tookMs": c.node.clock.Now().Sub(c.began).Milliseconds()}).Info("change of primary done")
 	err := c.write(ctx, record)
+	for err != nil && !errors.Is(err, bbrrows.ErrConflict) && ctx.Err() == nil {
+		c.log.WithError(err).Warn("the new primary is not named yet")
+		sleep(ctx, storePauseMost)
+		err = c.write(ctx, record)
+	}
 	c.release(ctx, choice)
 	return errors.Wrap(err, "name the new primary")
 }
--- a/bbrnode/keeper.go
+++ b/bbrnode/keeper.go
@@ -24,6 +24,8 @@
 	// lookEvery is how often members are looked at while the primary is unknown or
 	// does not answer.
 	lookEvery = 250 * time.Millisecond
+	// vouchTimeout bounds the question to the store whether a change has begun.
+	vouchTimeout = 350 * time.Millisecond
 )
 
 // keep looks after the groups until ctx ends.
@@ -54,7 +56,7 @@
 	switch {
 	case p.Member == "":
 		n.aside(func() { n.identify(ctx, g) })
-	case g.Failing(p.Member) != 0:
+	case g.Failing(p.Member) != 0 || g.Demoted() != 0:
 		n.aside(func() { n.examine(ctx, g, p) })
 	case n.isDue(g, p):
 		n.aside(func() { n.change(ctx, g, p) })
@@ -103,7 +105,7 @@
 // examine looks at members while the primary does not answer, and changes it if
 // that is due.
 func (n *Node) examine(ctx context.Context, g *bbrlink.Group, p bbrlink.Primary) {
-	if _, err := g.LookAt(ctx, p.Member); err == nil {
+	if look, err := g.LookAt(ctx, p.Member); err == nil && look.Role == bbrmessage.RolePrimary && g.Demoted() == 0 {
 		return
 	}
 	n.identify(ctx, g)
@@ -114,7 +116,10 @@
 
 // isDue reports whether the primary is to be replaced.
 func (n *Node) isDue(g *bbrlink.Group, p bbrlink.Primary) bool {
-	s := bbrsuccession.Situation{FailingSince: g.Failing(p.Member), Gone: true}
+	s := bbrsuccession.Situation{
+		FailingSince: g.Failing(p.Member), DemotedSince: g.Demoted(),
+		Gone: true, Informed: !g.Acked().IsZero(),
+	}
 	for _, m := range g.Members() {
 		if m.ID == p.Member {
 			s.Gone, s.Draining = false, m.Draining
@@ -132,3 +137,31 @@
 	defer n.mu.Unlock()
 	return n.loaded[name]
 }
+
+// vouch asks the store whether changes of primary have begun. One reading serves
+// all groups and all that ask meanwhile.
+func (n *Node) vouch(ctx context.Context) error {
+	return n.voucher.do(ctx, func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, vouchTimeout)
+		defer cancel()
+		sentAt := n.clock.Now()
+		rows, _, err := n.ports.Rows.Read(ctx, groupTable)
+		if err != nil {
+			return err
+		}
+		known := map[bbrtype.GroupName]bool{}
+		n.mu.Lock()
+		for _, r := range rows {
+			known[bbrtype.GroupName(r.Key)] = true
+			n.takeRecord(r)
+		}
+		n.mu.Unlock()
+		for _, g := range n.allGroups() {
+			p := g.Primary()
+			if bbrsuccession.Proves(n.known(g.Name()).Record, known[g.Name()], p.Member, p.Term) {
+				g.ProveTerm(p.Term, sentAt)
+			}
+		}
+		return nil
+	})
+}
--- a/bbrnode/node.go
+++ b/bbrnode/node.go
@@ -70,6 +70,7 @@
 	catalog  bbrcatalog.Holder
 	sessions *bbrsession.Server
 	metrics  *metrics
+	voucher  shared
 
 	mu        sync.Mutex
 	directory bbrdirectory.Directory
@@ -222,7 +223,7 @@
 			}
 			g = bbrlink.NewGroup(name, bbrlink.Deps{
 				Dial: n.ports.Dial, Clock: n.clock, Log: n.log, Group: n.work,
-				DataCentre: n.settings.DataCentre, Instances: n.instanceCount,
+				DataCentre: n.settings.DataCentre, Instances: n.instanceCount, Vouch: n.vouch,
 			})
 			n.groups[name] = g
 		}
--- a/bbrplace/place.go
+++ b/bbrplace/place.go
@@ -35,7 +35,10 @@
 	// replicas can do.
 	primaryFactor = 1.6
 	// laggingPause is how long a replica is left out for positions that it refused.
-	laggingPause = 150 * time.Millisecond
+	// The pause doubles with each further refusal.
+	laggingPause = 100 * time.Millisecond
+	// laggingDoublings bounds the growth of the pause.
+	laggingDoublings = 3
 	// busyPause is how long a member that turned work away is left out.
 	busyPause = 30 * time.Millisecond
 	// suspectPause is how long a member that did not answer is left out.
@@ -65,8 +68,8 @@
 	// refused is the least position that it lacked at refusedAt.
 	refused   bbrmessage.Place
 	refusedAt bbrtype.Mono
+	refusals  int
 	pausedTo  bbrtype.Mono
-	failures  int
 }
 
 // Want is what a statement needs.
@@ -233,7 +236,7 @@
 	if s.refused.IsZero() || floor.IsBefore(s.refused) {
 		return true
 	}
-	return now.Sub(s.refusedAt) > laggingPause
+	return now.Sub(s.refusedAt) > laggingPause<<max(0, min(s.refusals-1, laggingDoublings))
 }
 
 // cost is the expected wait at a member for a statement that it has room for.
@@ -254,7 +257,7 @@
 	if s == nil {
 		return
 	}
-	s.failures = 0
+	s.refusals = 0
 	s.answer += time.Duration(answerWeight * float64(took-s.answer))
 	s.applied = bbrmessage.Latest(s.applied, applied)
 }
@@ -263,6 +266,7 @@
 func (b *Board) Refused(id bbrtype.MemberName, floor bbrmessage.Place, now bbrtype.Mono) {
 	if s := b.seats[id]; s != nil {
 		s.refused, s.refusedAt = floor, now
+		s.refusals++
 	}
 }
 
@@ -276,7 +280,6 @@
 // Failed notes that a member did not answer.
 func (b *Board) Failed(id bbrtype.MemberName, now bbrtype.Mono) {
 	if s := b.seats[id]; s != nil {
-		s.failures++
 		s.pausedTo = now.Add(suspectPause)
 	}
 }
--- /dev/null
+++ b/bbrproof/proof_test.go
@@ -0,0 +1,93 @@
+package bbrproof
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/bluebellroute/bluebellroute/bbrmessage"
+	"github.com/bluebellroute/bluebellroute/bbrtesthelpers"
+	"github.com/bluebellroute/bluebellroute/bbrtype"
+)
+
+func TestMain(m *testing.M) { bbrtesthelpers.Main(m) }
+
+func TestAuthority(t *testing.T) {
+	is := is.New(t)
+	var a Authority
+	start := bbrtype.Mono(time.Hour)
+	a.Reset(2)
+	is.True(!a.Covers(start))
+
+	a.Observe(bbrmessage.Place{Term: 2, Number: 5}, start)
+	_, ok := a.Floor(start, time.Second)
+	is.True(!ok) // a sample without a proof is no floor
+
+	a.Prove(1, start)
+	is.True(!a.Covers(start)) // a proof of another term
+
+	a.Prove(2, start)
+	is.True(a.Covers(start.Add(Lease - 1)))
+	is.True(!a.Covers(start.Add(Lease)))
+	place, ok := a.Floor(start.Add(time.Second), time.Second)
+	is.True(ok)
+	is.Equal(place.Number, uint64(5))
+	_, ok = a.Floor(start.Add(time.Second+1), time.Second)
+	is.True(!ok) // too old
+
+	a.Reset(3)
+	_, ok = a.Floor(start, time.Second)
+	is.True(!ok) // nothing of another primary counts
+}
+
+// TestFloorIsNeverTooLow drives a primary that is replaced at some moment, and
+// checks that no floor lacks a commit that it must have.
+func TestFloorIsNeverTooLow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var a Authority
+		a.Reset(1)
+		now := bbrtype.Mono(time.Hour)
+		number := uint64(1)
+		type commit struct {
+			at    bbrtype.Mono
+			place bbrmessage.Place
+		}
+		var acked []commit
+		// Until barrier the first primary acknowledges; from barrier + Lease on the
+		// second one does, unseen.
+		barrier := now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "barrierMs")) * time.Millisecond)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 200).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				if now < barrier {
+					number++
+					acked = append(acked, commit{at: now, place: bbrmessage.Place{Term: 1, Number: number}})
+				} else if now >= barrier.Add(Lease) {
+					acked = append(acked, commit{at: now, place: bbrmessage.Place{Term: 2, Number: number + uint64(len(acked))}})
+				}
+			case 1:
+				a.Observe(bbrmessage.Place{Term: 1, Number: number}, now)
+			case 2:
+				if now < barrier {
+					a.Prove(1, now)
+				}
+			case 3:
+				age := time.Duration(rapid.IntRange(0, 3000).Draw(t, "ageMs")) * time.Millisecond
+				floor, ok := a.Floor(now, age)
+				for _, c := range acked {
+					if ok && c.at < now.Add(-age) && floor.IsBefore(c.place) {
+						t.Fatalf("floor %v at %v of age %v lacks %v of %v", floor, now, age, c.place, c.at)
+					}
+				}
+				for _, c := range acked {
+					if a.Covers(now) && c.place.Term == 2 && c.at <= now {
+						t.Fatalf("authority at %v after a commit of the next primary at %v", now, c.at)
+					}
+				}
+			}
+		}
+	})
+}
--- a/bbrsuccession/succession.go
+++ b/bbrsuccession/succession.go
@@ -12,7 +12,7 @@
 //
 //	reason, due := bbrsuccession.Due(state, now)
 //	claim, err := bbrsuccession.Claim(record, "instance-1", now)
-//	plan := bbrsuccession.Choose(looks, old)
+//	choice := bbrsuccession.Choose(question)
 package bbrsuccession
 
 import (
@@ -32,11 +32,16 @@
 	// SilenceLimit is how long a primary may fail to answer before it is replaced.
 	SilenceLimit = 900 * time.Millisecond
 	// ClaimTime is how long an instance may act on its claim, from the moment
-	// that it sent it.
-	ClaimTime = 6 * time.Second
+	// that it last wrote it.
+	ClaimTime = 2 * time.Second
+	// RenewAfter is the age at which a claim is written again.
+	RenewAfter = 700 * time.Millisecond
 	// takeoverAfter is how long others leave a claim alone, from the moment that
 	// they saw it.
-	takeoverAfter = ClaimTime + 2*time.Second
+	takeoverAfter = ClaimTime + time.Second
+	// uninformedPause is how much longer an instance waits that has seen no
+	// acknowledged commit, so that one that knows more goes first.
+	uninformedPause = 1200 * time.Millisecond
 )
 
 // Fence is a number that rises with each change of a group's primary.
@@ -59,6 +64,8 @@
 	// Primary and Term are the primary named last.
 	Primary bbrtype.MemberName `json:"primary"`
 	Term    bbrtype.Term       `json:"term"`
+	// Renewed counts how often a claim was written again.
+	Renewed int `json:"renewed,omitempty"`
 }
 
 // Order orders a promotion.
@@ -77,9 +84,19 @@
 	SeenAt bbrtype.Mono
 }
 
-// MayClaim reports whether an instance may begin a change.
-func MayClaim(k Known, now bbrtype.Mono) bool {
-	return k.Record.Phase != PhaseClaimed || now.Sub(k.SeenAt) > takeoverAfter
+// MayClaim reports whether an instance may begin a change. A claim of its own
+// name is one of an earlier process, which has ended.
+func MayClaim(k Known, holder string, now bbrtype.Mono) bool {
+	return k.Record.Phase != PhaseClaimed || k.Record.Holder == holder || now.Sub(k.SeenAt) > takeoverAfter
+}
+
+// Proves reports whether a record shows that no change has begun since a member
+// became the primary of a term. known is false if the store has no record.
+func Proves(r Record, known bool, primary bbrtype.MemberName, term bbrtype.Term) bool {
+	if !known {
+		return true
+	}
+	return r.Phase == PhaseNamed && r.Primary == primary && r.Term == term
 }
 
 // Claim returns the record that begins a change.
@@ -87,6 +104,7 @@
 	r := k.Record
 	r.Phase = PhaseClaimed
 	r.Holder = holder
+	r.Renewed = 0
 	r.Fence++
 	return r
 }
@@ -122,40 +140,56 @@
 	Why string
 }
 
-// Choose compares the members' positions. old is the primary that is replaced,
-// term the term under which replication is held. An acknowledged commit is in
-// the log of the old primary and of sync replicas; so every replica has to hold,
-// less sync - 1 of them, or the old primary has to have stepped down.
-func Choose(members []Candidate, old bbrtype.MemberName, term bbrtype.Term, sync int) Choice {
-	if c, ok := leader(members, term); ok {
+// Question is what is known when a successor is to be chosen.
+type Question struct {
+	Members []Candidate
+	// Old is the primary that is replaced.
+	Old bbrtype.MemberName
+	// Term is the term under which replication is held.
+	Term bbrtype.Term
+	// Sync is the number of replicas that hold a commit before it is acknowledged.
+	Sync int
+	// Acked is the newest position that is known to have been acknowledged.
+	Acked bbrmessage.Place
+}
+
+// Choose compares the members' positions. An acknowledged commit is in the log of
+// the old primary and of Sync replicas. So all replicas have to hold, less
+// Sync - 1 of them, or the old primary has to have stepped down. A replica that
+// lacks a commit known to have been acknowledged is never chosen.
+func Choose(q Question) Choice {
+	if c, ok := leader(q.Members, q.Term); ok {
 		return c
 	}
 	var held []Candidate
+	var stepped *Candidate
 	missing := 0
-	stepped := bbrmessage.Place{}
-	for _, m := range members {
+	for i, m := range q.Members {
 		switch {
-		case m.ID == old:
+		case m.ID == q.Old:
 			if m.Answered && m.Look.Role == bbrmessage.RoleReplica {
-				stepped = m.Look.Received
+				stepped = &q.Members[i]
 			}
-		case m.Answered && m.Look.Held >= term:
+		case m.Answered && m.Look.Held >= q.Term:
 			held = append(held, m)
 		default:
 			missing++
 		}
 	}
 	best, ok := highest(held)
-	if !ok {
-		return Choice{Decision: DecisionWait, Why: "no replica holds"}
+	complete := missing <= max(q.Sync-1, 0)
+	if stepped != nil && (!ok || !complete && best.Look.Received.IsBefore(stepped.Look.Received)) {
+		best, ok = *stepped, true
 	}
 	switch {
-	case missing <= max(sync-1, 0):
-	case !stepped.IsZero() && !best.Look.Received.IsBefore(stepped):
-	default:
+	case !ok:
+		return Choice{Decision: DecisionWait, Why: "no replica holds"}
+	case !complete && stepped == nil:
 		return Choice{Decision: DecisionWait, Why: "a replica that may have more does not hold"}
+	case best.Look.Received.IsBefore(q.Acked):
+		return Choice{Decision: DecisionWait, Why: "no member that answers has all acknowledged commits"}
 	}
-	return Choice{Decision: DecisionPromote, Member: best.ID, Term: term}
+	return Choice{Decision: DecisionPromote, Member: best.ID, Term: q.Term}
 }
 
 // leader returns a member that leads the term or a newer one already.
@@ -207,25 +241,32 @@
 type Situation struct {
 	// FailingSince is when the primary first failed to answer, 0 if it answers.
 	FailingSince bbrtype.Mono
+	// DemotedSince is when the primary first said that it does not lead, 0 if it
+	// leads.
+	DemotedSince bbrtype.Mono
 	// Draining is set if the primary is about to leave.
 	Draining bool
 	// Gone is set if the primary has no entry any more.
 	Gone bool
-	// Commits is set if replicas were seen to receive from it since it failed.
-	Commits bool
+	// Informed is set if the instance has seen acknowledged commits of the primary.
+	Informed bool
 }
 
 // Due reports whether a change of primary is due, and why.
 func Due(s Situation, now bbrtype.Mono) (string, bool) {
+	limit := SilenceLimit
+	if !s.Informed {
+		limit += uninformedPause
+	}
 	switch {
 	case s.Draining:
 		return "the primary is leaving", true
-	case s.Commits:
-		return "", false
+	case s.FailingSince != 0 && now.Sub(s.FailingSince) > limit:
+		return "the primary does not answer", true
+	case s.DemotedSince != 0 && now.Sub(s.DemotedSince) > limit:
+		return "no member leads", true
 	case s.Gone:
 		return "the primary is gone", true
-	case s.FailingSince != 0 && now.Sub(s.FailingSince) > SilenceLimit:
-		return "the primary does not answer", true
 	}
 	return "", false
 }
--- /dev/null
+++ b/bbrsuccession/succession_test.go
@@ -0,0 +1,172 @@
+package bbrsuccession
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bluebellroute/bluebellroute/bbrmessage"
+	"github.com/bluebellroute/bluebellroute/bbrtype"
+)
+
+func at(n uint64) bbrmessage.Place { return bbrmessage.Place{Term: 1, Number: n} }
+
+func holding(id bbrtype.MemberName, n uint64, held bbrtype.Term) Candidate {
+	return Candidate{ID: id, Answered: true, Look: bbrmessage.Look{Role: bbrmessage.RoleReplica, Term: 1, Received: at(n), Held: held}}
+}
+
+func leading(id bbrtype.MemberName, n uint64, term bbrtype.Term) Candidate {
+	return Candidate{ID: id, Answered: true, Look: bbrmessage.Look{Role: bbrmessage.RolePrimary, Term: term, Received: at(n)}}
+}
+
+func silent(id bbrtype.MemberName) Candidate { return Candidate{ID: id} }
+
+func draining(c Candidate) Candidate {
+	c.Draining = true
+	return c
+}
+
+func TestChoose(t *testing.T) {
+	tests := map[string]struct {
+		members []Candidate
+		sync    int
+		acked   uint64
+		want    Decision
+		member  bbrtype.MemberName
+	}{
+		"a dead primary is followed by the replica that has most": {
+			members: []Candidate{silent("old"), holding("r1", 7, 2), holding("r2", 9, 2)}, sync: 1,
+			want: DecisionPromote, member: "r2",
+		},
+		"a replica that does not hold may have more": {
+			members: []Candidate{silent("old"), holding("r1", 7, 2), holding("r2", 9, 0)}, sync: 1,
+			want: DecisionWait,
+		},
+		"a silent replica may have more": {
+			members: []Candidate{silent("old"), holding("r1", 7, 2), silent("r2")}, sync: 1,
+			want: DecisionWait,
+		},
+		"with two synchronous replicas one may be silent": {
+			members: []Candidate{silent("old"), holding("r1", 7, 2), silent("r2")}, sync: 2,
+			want: DecisionPromote, member: "r1",
+		},
+		"a hold of an older change does not count": {
+			members: []Candidate{silent("old"), holding("r1", 7, 1), holding("r2", 7, 2)}, sync: 1,
+			want: DecisionWait,
+		},
+		// The other replica left with its log, so that the one that stayed lacks
+		// commits that were acknowledged.
+		"a replica that lacks an acknowledged commit is not promoted": {
+			members: []Candidate{silent("old"), holding("r1", 334, 2)}, sync: 1, acked: 380,
+			want: DecisionWait,
+		},
+		"a replica that has the newest acknowledged commit is promoted": {
+			members: []Candidate{silent("old"), holding("r1", 380, 2)}, sync: 1, acked: 380,
+			want: DecisionPromote, member: "r1",
+		},
+		"an old primary that stepped down shows what there is": {
+			members: []Candidate{holding("old", 9, 0), holding("r1", 9, 2), silent("r2")}, sync: 1,
+			want: DecisionPromote, member: "r1",
+		},
+		"an old primary that has more than the replica that answers leads again": {
+			members: []Candidate{holding("old", 9, 0), holding("r1", 7, 2), silent("r2")}, sync: 1,
+			want: DecisionPromote, member: "old",
+		},
+		"among equals one that stays is promoted": {
+			members: []Candidate{draining(leading("old", 9, 1)), draining(holding("r1", 9, 2)), holding("r2", 9, 2)}, sync: 1,
+			want: DecisionPromote, member: "r2",
+		},
+		"one that leaves is promoted if it has more": {
+			members: []Candidate{silent("old"), draining(holding("r1", 10, 2)), holding("r2", 9, 2)}, sync: 1,
+			want: DecisionPromote, member: "r1",
+		},
+		"a member that leads the term already is adopted": {
+			members: []Candidate{silent("old"), leading("r1", 9, 2), silent("r2")}, sync: 1,
+			want: DecisionAdopt, member: "r1",
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			q := Question{Members: tt.members, Old: "old", Term: 2, Sync: tt.sync}
+			if tt.acked > 0 {
+				q.Acked = at(tt.acked)
+			}
+			c := Choose(q)
+			is.Equal(c.Decision, tt.want)
+			is.Equal(c.Member, tt.member)
+		})
+	}
+}
+
+func TestMayClaim(t *testing.T) {
+	now := bbrtype.Mono(time.Hour)
+	tests := map[string]struct {
+		record Record
+		age    time.Duration
+		want   bool
+	}{
+		"no change is under way":              {record: Record{Phase: PhaseNamed, Holder: "other"}, want: true},
+		"there is no record":                  {want: true},
+		"another one is at it":                {record: Record{Phase: PhaseClaimed, Holder: "other"}, age: ClaimTime, want: false},
+		"another one has not been heard of":   {record: Record{Phase: PhaseClaimed, Holder: "other"}, age: takeoverAfter + 1, want: true},
+		"an earlier process of the same name": {record: Record{Phase: PhaseClaimed, Holder: "me"}, want: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(MayClaim(Known{Record: tt.record, SeenAt: now.Add(-tt.age)}, "me", now), tt.want)
+		})
+	}
+}
+
+func TestClaimRaisesTheFence(t *testing.T) {
+	is := is.New(t)
+	r := Claim(Known{Record: Record{Fence: 4, Primary: "m1", Term: 3, Phase: PhaseNamed, Holder: "other", Renewed: 2}}, "me")
+	is.Equal(r, Record{Fence: 5, Primary: "m1", Term: 3, Phase: PhaseClaimed, Holder: "me"})
+}
+
+func TestProves(t *testing.T) {
+	tests := map[string]struct {
+		record Record
+		known  bool
+		want   bool
+	}{
+		"no change was ever made": {want: true},
+		"the primary is named":    {record: Record{Phase: PhaseNamed, Primary: "m1", Term: 2}, known: true, want: true},
+		"a change has begun":      {record: Record{Phase: PhaseClaimed, Primary: "m1", Term: 2}, known: true},
+		"another one is named":    {record: Record{Phase: PhaseNamed, Primary: "m2", Term: 3}, known: true},
+		"an older term is named":  {record: Record{Phase: PhaseNamed, Primary: "m1", Term: 1}, known: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(Proves(tt.record, tt.known, "m1", 2), tt.want)
+		})
+	}
+}
+
+func TestDue(t *testing.T) {
+	now := bbrtype.Mono(time.Hour)
+	tests := map[string]struct {
+		s    Situation
+		want bool
+	}{
+		"it answers":                           {s: Situation{Informed: true}},
+		"it leaves":                            {s: Situation{Draining: true, Informed: true}, want: true},
+		"it was silent for a moment":           {s: Situation{FailingSince: now.Add(-SilenceLimit / 2), Informed: true}},
+		"it is silent":                         {s: Situation{FailingSince: now.Add(-SilenceLimit - 1), Informed: true}, want: true},
+		"one who knows little waits longer":    {s: Situation{FailingSince: now.Add(-SilenceLimit - 1)}},
+		"one who knows little acts in the end": {s: Situation{FailingSince: now.Add(-SilenceLimit - uninformedPause - 1)}, want: true},
+		"nobody leads":                         {s: Situation{DemotedSince: now.Add(-SilenceLimit - 1), Informed: true}, want: true},
+		"its entry is gone":                    {s: Situation{Gone: true, Informed: true}, want: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, due := Due(tt.s, now)
+			is.Equal(due, tt.want)
+		})
+	}
+}
