--- a/bbrlink/evidence.go
+++ b/bbrlink/evidence.go
@@ -96,11 +96,12 @@
 	return g.contact[id].failingAt
 }
 
-// Covers reports whether the primary in use is proven for a moment.
-func (g *Group) Covers(at bbrtype.Mono) bool {
+// Covers reports whether a primary is still the one in use and proven for a
+// moment. A proof of its successor says nothing about what it served.
+func (g *Group) Covers(p Primary, at bbrtype.Mono) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.proof.Covers(at)
+	return p == g.primary && g.proof.Covers(at)
 }
 
 // Floor returns the least position for a read of a stated age that arrived at a
@@ -204,7 +205,7 @@
 		g.SetPrimary(newer)
 		return
 	}
-	if showsNoChange(all, p) {
+	if len(g.Departed()) == 0 && showsNoChange(all, p) {
 		g.ProveTerm(p.Term, sentAt)
 	}
 }
--- a/bbrlink/evidence_test.go
+++ b/bbrlink/evidence_test.go
@@ -1,10 +1,12 @@
 package bbrlink
 
 import (
+	"io"
 	"testing"
 
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/bluebellroute/bluebellroute/bbrmessage"
 	"github.com/bluebellroute/bluebellroute/bbrtype"
@@ -50,3 +52,20 @@
 	is.True(ok)
 	is.Equal(p, Primary{Member: "r1", Term: 3})
 }
+
+// TestProofOfTheNextPrimary replays a proof whose answer came after a change: it
+// is about the new primary, and a read that the old one served is not covered.
+func TestProofOfTheNextPrimary(t *testing.T) {
+	is := is.New(t)
+	clock := bbrtype.NewClock()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	g := NewGroup("g", Deps{Clock: clock, Log: log, Instances: func() int { return 1 }})
+	old := Primary{Member: "p", Term: 1}
+	g.SetPrimary(old)
+	arrived := clock.Now()
+	g.SetPrimary(Primary{Member: "r1", Term: 2})
+	g.ProveTerm(2, arrived.Add(1))
+	is.True(!g.Covers(old, arrived))
+	is.True(g.Covers(g.Primary(), arrived))
+}
--- a/bbrlink/group.go
+++ b/bbrlink/group.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -71,11 +72,13 @@
 	mu      sync.Mutex
 	board   bbrplace.Board
 	members map[bbrtype.MemberName]bbrdirectory.Member
-	idle    map[bbrtype.MemberName][]*Conn
-	service bbrcatalog.Service
-	primary Primary
-	proof   bbrproof.Authority
-	contact map[bbrtype.MemberName]contact
+	// departed may still confirm commits for a primary that reaches them.
+	departed []bbrdirectory.Member
+	idle     map[bbrtype.MemberName][]*Conn
+	service  bbrcatalog.Service
+	primary  Primary
+	proof    bbrproof.Authority
+	contact  map[bbrtype.MemberName]contact
 	// proving is closed when the proof that is under way has ended.
 	proving  chan struct{}
 	provedAt bbrtype.Mono
@@ -112,11 +115,13 @@
 // Name returns the group's name.
 func (g *Group) Name() bbrtype.GroupName { return g.name }
 
-// SetMembers puts the group's members and settings in force.
-func (g *Group) SetMembers(members []bbrdirectory.Member, service bbrcatalog.Service) {
+// SetMembers puts the group's members and settings in force. departed are members
+// that may still be at work although they are no longer known.
+func (g *Group) SetMembers(members, departed []bbrdirectory.Member, service bbrcatalog.Service) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.service = service
+	g.departed = departed
 	seen := map[bbrtype.MemberName]bool{}
 	for _, m := range members {
 		seen[m.ID] = true
@@ -202,6 +207,14 @@
 	return out
 }
 
+// Departed returns the members that may still be at work although they are no
+// longer known.
+func (g *Group) Departed() []bbrdirectory.Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Clone(g.departed)
+}
+
 // Service returns the group's settings.
 func (g *Group) Service() bbrcatalog.Service {
 	g.mu.Lock()
--- a/bbrnode/change.go
+++ b/bbrnode/change.go
@@ -193,7 +193,7 @@
 // hold asks every replica to hold replication and returns what they told.
 func (c *change) hold(ctx context.Context) []bbrsuccession.Candidate {
 	stepDown := c.node.clock.Now().Sub(c.began) > stepDownAfter
-	return c.node.ask(ctx, c.group, func(ctx context.Context, id bbrtype.MemberName) (bbrmessage.Look, error) {
+	out := c.node.ask(ctx, c.group, func(ctx context.Context, id bbrtype.MemberName) (bbrmessage.Look, error) {
 		switch {
 		case id != c.old.Member:
 			return c.group.Hold(ctx, id, c.term)
@@ -202,6 +202,10 @@
 		}
 		return c.group.LookAt(ctx, id)
 	})
+	for _, m := range c.group.Departed() {
+		out = append(out, bbrsuccession.Candidate{ID: m.ID})
+	}
+	return out
 }
 
 // promote orders the promotion until the member leads.
--- a/bbrnode/node.go
+++ b/bbrnode/node.go
@@ -227,7 +227,7 @@
 			})
 			n.groups[name] = g
 		}
-		g.SetMembers(members, service)
+		g.SetMembers(members, n.directory.Departed(name), service)
 	}
 }
 
--- a/bbrsession/statement.go
+++ b/bbrsession/statement.go
@@ -41,6 +41,8 @@
 	// statement, or of its transaction's begin.
 	since bbrtype.Mono
 	avoid []bbrtype.MemberName
+	// under is the primary in use when the statement was sent.
+	under bbrlink.Primary
 }
 
 // until returns the moment of the wall clock's runtime timers that stands for d
@@ -114,6 +116,7 @@
 		want.Deadline = a.deadline
 		conn, err := a.group.Acquire(ctx, want)
 		if err == nil {
+			a.under = a.group.Primary()
 			return conn, nil
 		}
 		var m *bbrlink.MemberError
@@ -175,7 +178,7 @@
 
 // proveAside starts a proof, unless the primary is proven for the statement.
 func (a *attempt) proveAside(ctx context.Context) {
-	if a.group.Covers(a.since) {
+	if a.group.Covers(a.group.Primary(), a.since) {
 		return
 	}
 	a.x.server.Work.Go(func() error {
@@ -184,14 +187,17 @@
 	})
 }
 
-// isProven reports whether the primary was the only one when the statement
-// arrived. It waits for a proof if there is none yet.
-func (a *attempt) isProven(ctx context.Context) bool {
-	if a.group.Covers(a.since) {
+// isProven reports whether the member that served the statement was the only
+// primary when the statement arrived. It waits for a proof if there is none yet.
+func (a *attempt) isProven(ctx context.Context, served bbrtype.MemberName) bool {
+	if served != a.under.Member {
+		return false
+	}
+	if a.group.Covers(a.under, a.since) {
 		return true
 	}
 	a.prove(ctx)
-	return a.group.Covers(a.since)
+	return a.group.Covers(a.under, a.since)
 }
 
 // read serves a read outside of a transaction. It is tried again elsewhere while
@@ -239,7 +245,7 @@
 		}
 		return x.fail(f), false
 	}
-	if want.PrimaryOnly && !a.isProven(ctx) {
+	if want.PrimaryOnly && !a.isProven(ctx, id) {
 		return x.fail(busy("the primary could not be shown to be the only one")), false
 	}
 	return bbrmessage.Reply{Rows: reply.Rows, Proof: reply.Proof, State: bbrmessage.StateIdle}, false
--- a/bbrsession/transaction.go
+++ b/bbrsession/transaction.go
@@ -109,7 +109,7 @@
 		return r.Failure, again
 	}
 	x.tx.conn = conn
-	if !want.PrimaryOnly || a.isProven(ctx) {
+	if !want.PrimaryOnly || a.isProven(ctx, id) {
 		return nil, false
 	}
 	x.rollback(ctx)
--- a/bbrsuccession/succession.go
+++ b/bbrsuccession/succession.go
@@ -266,6 +266,7 @@
 	case s.DemotedSince != 0 && now.Sub(s.DemotedSince) > limit:
 		return "no member leads", true
 	case s.Gone:
+		// Its entry had time to come back before the member was dropped.
 		return "the primary is gone", true
 	}
 	return "", false
