Take positions only of the primary in use

Ruled out: proofs by commits or by members (the log of sources, added here, shows none). Change: an authority ignores answers to what was sent before its primary came into use. Test: TestAuthority.

--- a/bbrlink/evidence.go
+++ b/bbrlink/evidence.go
@@ -52,7 +52,7 @@
 		g.acked = bbrmessage.Latest(g.acked, e.Reply.Place)
 	}
 	if e.Commit && e.Reply.Place.Term == g.primary.Term && g.service.SyncReplicas > 0 {
-		g.proof.Prove(g.primary.Term, e.SentAt)
+		g.take(proofByCommit, g.primary.Term, e.SentAt)
 	}
 	g.proof.Observe(e.Reply.Place, e.SentAt)
 }
@@ -157,7 +157,7 @@
 	sentAt := g.Clock.Now()
 	look, err := g.LookAt(ctx, p.Member)
 	if err == nil && look.Role == bbrmessage.RolePrimary && look.Term == p.Term {
-		g.observe(look.Received, sentAt)
+		g.observe(p, look.Received, sentAt)
 	}
 	if <-vouched != nil {
 		g.proveByMembers(ctx, p)
@@ -174,11 +174,32 @@
 	}
 }
 
-// ProveTerm notes that no change of primary had begun when a question was sent.
+// ProveTerm notes that the store had no change of primary when it was asked.
 func (g *Group) ProveTerm(term bbrtype.Term, sentAt bbrtype.Mono) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.take(proofByStore, term, sentAt)
+}
+
+// proofSource tells where a proof came from.
+type proofSource string
+
+// The sources of proofs.
+const (
+	proofByCommit  proofSource = "commit"
+	proofByStore   proofSource = "store"
+	proofByMembers proofSource = "members"
+)
+
+// take notes a proof, and logs it if the primary was not proven before. The
+// caller holds mu.
+func (g *Group) take(source proofSource, term bbrtype.Term, sentAt bbrtype.Mono) {
+	now := g.Clock.Now()
+	had := g.proof.Covers(now)
 	g.proof.Prove(term, sentAt)
+	if !had && g.proof.Covers(now) {
+		g.Log.WithFields(logrus.Fields{"group": g.name, "primary": g.primary.Member, "term": term, "source": source, "ageMs": now.Sub(sentAt).Milliseconds()}).Debug("primary proven")
+	}
 }
 
 // proveByMembers looks at all members. Only if each one answers, and none but the
@@ -206,7 +227,9 @@
 		return
 	}
 	if len(g.Departed()) == 0 && showsNoChange(all, p) {
-		g.ProveTerm(p.Term, sentAt)
+		g.mu.Lock()
+		g.take(proofByMembers, p.Term, sentAt)
+		g.mu.Unlock()
 	}
 }
 
@@ -245,11 +268,13 @@
 	return leads
 }
 
-// observe notes a position of the primary.
-func (g *Group) observe(place bbrmessage.Place, sentAt bbrtype.Mono) {
+// observe notes a position of a primary, if it is the one in use.
+func (g *Group) observe(p Primary, place bbrmessage.Place, sentAt bbrtype.Mono) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.proof.Observe(place, sentAt)
+	if p == g.primary {
+		g.proof.Observe(place, sentAt)
+	}
 }
 
 // LookAt asks a member for its state over a connection of the group.
--- a/bbrlink/group.go
+++ b/bbrlink/group.go
@@ -182,7 +182,7 @@
 	g.Log.WithFields(logrus.Fields{"group": g.name, "member": p.Member, "term": p.Term, "before": g.primary.Member, "termBefore": g.primary.Term}).Info("primary in use")
 	g.primary = p
 	g.demotedAt = 0
-	g.proof.Reset(p.Term)
+	g.proof.Reset(p.Term, g.Clock.Now())
 	g.refresh()
 	if wait := p.UsableFrom.Sub(g.Clock.Now()); wait > 0 {
 		time.AfterFunc(wait, g.Refresh)
--- a/bbrproof/proof.go
+++ b/bbrproof/proof.go
@@ -44,6 +44,9 @@
 // nothing.
 type Authority struct {
 	term bbrtype.Term
+	// from is when the primary came into use. Nothing before counts: the answer may
+	// be another primary's, or the same one's in an earlier term.
+	from bbrtype.Mono
 	// provenAt is when the request of the newest proof was sent.
 	provenAt bbrtype.Mono
 	// proven are samples under authority, oldest first.
@@ -52,8 +55,8 @@
 	pending []sample
 }
 
-// Reset forgets everything, for a new primary of a term.
-func (a *Authority) Reset(term bbrtype.Term) { *a = Authority{term: term} }
+// Reset forgets everything, for a new primary of a term that comes into use.
+func (a *Authority) Reset(term bbrtype.Term, now bbrtype.Mono) { *a = Authority{term: term, from: now} }
 
 // Term returns the term that the proofs are about.
 func (a *Authority) Term() bbrtype.Term { return a.term }
@@ -77,7 +80,7 @@
 
 // Observe notes a position that the primary reported to a request sent at a time.
 func (a *Authority) Observe(place bbrmessage.Place, sentAt bbrtype.Mono) {
-	if place.IsZero() {
+	if place.IsZero() || sentAt < a.from {
 		return
 	}
 	s := sample{at: sentAt, place: place}
@@ -107,9 +110,9 @@
 }
 
 // Covers reports whether the primary is proven to have been the only one that
-// acknowledges, at a moment.
+// acknowledges, at a moment or, if it came into use later, from then on.
 func (a *Authority) Covers(at bbrtype.Mono) bool {
-	return a.provenAt != 0 && at < a.provenAt.Add(Lease)
+	return a.provenAt != 0 && max(at, a.from) < a.provenAt.Add(Lease)
 }
 
 // Floor returns the earliest known position that has all commits acknowledged
--- a/bbrproof/proof_test.go
+++ b/bbrproof/proof_test.go
@@ -18,7 +18,7 @@
 	is := is.New(t)
 	var a Authority
 	start := bbrtype.Mono(time.Hour)
-	a.Reset(2)
+	a.Reset(2, start)
 	is.True(!a.Covers(start))
 
 	a.Observe(bbrmessage.Place{Term: 2, Number: 5}, start)
@@ -37,9 +37,18 @@
 	_, ok = a.Floor(start.Add(time.Second+1), time.Second)
 	is.True(!ok) // too old
 
-	a.Reset(3)
-	_, ok = a.Floor(start, time.Second)
-	is.True(!ok) // nothing of another primary counts
+	// An answer of the old primary that comes after the new one is in use counts
+	// for nothing, whatever is proven of the new one.
+	changed := start.Add(2 * time.Second)
+	a.Reset(3, changed)
+	a.Prove(3, changed.Add(1))
+	a.Observe(bbrmessage.Place{Term: 2, Number: 6}, changed.Add(-1))
+	_, ok = a.Floor(changed, 2*time.Second)
+	is.True(!ok)
+	a.Observe(bbrmessage.Place{Term: 3, Number: 7}, changed)
+	place, ok = a.Floor(changed, 2*time.Second)
+	is.True(ok)
+	is.Equal(place.Number, uint64(7))
 }
 
 // TestFloorIsNeverTooLow drives a primary that is replaced at some moment, and
@@ -47,8 +56,8 @@
 func TestFloorIsNeverTooLow(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var a Authority
-		a.Reset(1)
 		now := bbrtype.Mono(time.Hour)
+		a.Reset(1, now)
 		number := uint64(1)
 		type commit struct {
 			at    bbrtype.Mono
