Leave half of the members' connections free

After a loss of power, members held the old connections and had no room for new ones. Ruled out: looks (they use connections that are there). Change: the share is a part of half of the connections, unused ones are closed after 2 s, the count is repeated soon, and a member that refuses a connection is used only as far as it took some. Test: TestPlacement, a full member.

--- a/bbrlink/conn.go
+++ b/bbrlink/conn.go
@@ -13,7 +13,6 @@
 // Conn is a connection to a member that one statement or transaction has to
 // itself until it is given back.
 type Conn struct {
-	group  *Group
 	member bbrdirectory.Member
 	wire   bbrmessage.MemberConn
 	// values and prepared are what the member holds for this connection.
--- a/bbrlink/group.go
+++ b/bbrlink/group.go
@@ -41,10 +41,12 @@
 const (
 	// dialTimeout bounds the making of a connection to a member.
 	dialTimeout = 600 * time.Millisecond
-	// reserved are the connections of a member that are kept for looks.
-	reserved = 2
+	// spareParts is the part of a member's connections that the instances leave
+	// free, as one of so many: members hold the connections of instances that lost
+	// power for some seconds, and those that start again need others.
+	spareParts = 2
 	// idleLimit is how long a connection beyond the first may stay unused.
-	idleLimit = 8 * time.Second
+	idleLimit = 2 * time.Second
 )
 
 // Dialer opens a connection to a member, which must be the one expected.
@@ -75,10 +77,12 @@
 	// departed may still confirm commits for a primary that reaches them.
 	departed []bbrdirectory.Member
 	idle     map[bbrtype.MemberName][]*Conn
-	service  bbrcatalog.Service
-	primary  Primary
-	proof    bbrproof.Authority
-	contact  map[bbrtype.MemberName]contact
+	// open counts the connections to each member, used or not.
+	open    map[bbrtype.MemberName]int
+	service bbrcatalog.Service
+	primary Primary
+	proof   bbrproof.Authority
+	contact map[bbrtype.MemberName]contact
 	// proving is closed when the proof that is under way has ended.
 	proving  chan struct{}
 	provedAt bbrtype.Mono
@@ -108,6 +112,7 @@
 		name:    name,
 		members: map[bbrtype.MemberName]bbrdirectory.Member{},
 		idle:    map[bbrtype.MemberName][]*Conn{},
+		open:    map[bbrtype.MemberName]int{},
 		contact: map[bbrtype.MemberName]contact{},
 	}
 }
@@ -169,7 +174,7 @@
 // have.
 func (g *Group) share() int {
 	n := max(1, g.Instances())
-	return max(1, (g.service.MaxConnections-reserved+n-1)/n)
+	return max(1, (g.service.MaxConnections/spareParts+n-1)/n)
 }
 
 // SetPrimary names the primary that the group is served by.
@@ -275,7 +280,7 @@
 		g.giveBack(id)
 		return nil, &MemberError{Member: id, err: ErrUnreachable}
 	}
-	c, err := g.open(ctx, m)
+	c, err := g.dial(ctx, m)
 	if err != nil {
 		g.mu.Lock()
 		defer g.mu.Unlock()
@@ -286,15 +291,18 @@
 	return c, nil
 }
 
-// open makes a connection to a member.
-func (g *Group) open(ctx context.Context, m bbrdirectory.Member) (*Conn, error) {
+// dial makes a connection to a member.
+func (g *Group) dial(ctx context.Context, m bbrdirectory.Member) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	wire, err := g.Dial(ctx, m)
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{group: g, member: m, wire: wire}, nil
+	g.mu.Lock()
+	g.open[m.ID]++
+	g.mu.Unlock()
+	return &Conn{member: m, wire: wire}, nil
 }
 
 // MemberError is an error of one member. Nothing was run.
@@ -314,7 +322,7 @@
 	now := g.Clock.Now()
 	var f *bbrmessage.Failure
 	if errors.As(err, &f) && f.Class == bbrmessage.ClassTooManyConnections {
-		g.board.TurnedAway(id, now)
+		g.board.Full(id, g.open[id], now)
 		return
 	}
 	g.fail(id, now)
@@ -339,7 +347,7 @@
 	id := c.member.ID
 	m, known := g.members[id]
 	if c.broken || !known || m.Born != c.member.Born {
-		_ = c.wire.Close()
+		g.hangUp(c)
 	} else {
 		c.idleFrom = now
 		g.idle[id] = append(g.idle[id], c)
@@ -350,11 +358,19 @@
 // closeIdle closes the unused connections to a member.
 func (g *Group) closeIdle(id bbrtype.MemberName) {
 	for _, c := range g.idle[id] {
-		_ = c.wire.Close()
+		g.hangUp(c)
 	}
 	delete(g.idle, id)
 }
 
+// hangUp closes a connection. The caller holds mu.
+func (g *Group) hangUp(c *Conn) {
+	_ = c.wire.Close()
+	if g.open[c.member.ID]--; g.open[c.member.ID] <= 0 {
+		delete(g.open, c.member.ID)
+	}
+}
+
 // Trim closes connections that nobody has used for a while, down to one for
 // each member.
 func (g *Group) Trim() {
@@ -363,7 +379,7 @@
 	now := g.Clock.Now()
 	for id, list := range g.idle {
 		for len(list) > 1 && now.Sub(list[0].idleFrom) > idleLimit {
-			_ = list[0].wire.Close()
+			g.hangUp(list[0])
 			list = list[1:]
 		}
 		g.idle[id] = list
--- a/bbrnode/keeper.go
+++ b/bbrnode/keeper.go
@@ -16,7 +16,9 @@
 const (
 	// keepEvery is how often an instance looks after its groups.
 	keepEvery = 100 * time.Millisecond
-	// countEvery is how often the instances are counted.
+	// countSoon is when the instances are counted for the second time: many may
+	// have started at once. The time doubles up to countEvery.
+	countSoon  = 500 * time.Millisecond
 	countEvery = 12 * time.Second
 	// sampleBefore is the age of the newest sample of the primary's position at
 	// which another one is taken.
--- a/bbrnode/node.go
+++ b/bbrnode/node.go
@@ -306,7 +306,7 @@
 		return
 	}
 	entered := false
-	for ctx.Err() == nil {
+	for wait := countSoon; ctx.Err() == nil; wait = min(2*wait, countEvery) {
 		if !entered {
 			_, err := n.ports.Rows.Write(ctx, bbrrows.Change{Set: map[bbrrows.RowName][]byte{me: entry}})
 			entered = err == nil
@@ -317,9 +317,8 @@
 			n.refreshGroups()
 			n.mu.Unlock()
 		}
-		wait := countEvery
 		if !entered {
-			wait = storePauseMost
+			wait = countSoon
 		}
 		sleep(ctx, wait)
 	}
--- a/bbrplace/place.go
+++ b/bbrplace/place.go
@@ -43,6 +43,9 @@
 	busyPause = 30 * time.Millisecond
 	// suspectPause is how long a member that did not answer is left out.
 	suspectPause = 500 * time.Millisecond
+	// fullPause is how long the number of statements at a member stays bounded by
+	// the connections that it took, after it refused one.
+	fullPause = 1500 * time.Millisecond
 	// answerWeight is the weight of the newest answer in the moving average.
 	answerWeight = 0.15
 )
@@ -70,6 +73,9 @@
 	refusedAt bbrtype.Mono
 	refusals  int
 	pausedTo  bbrtype.Mono
+	// ceiling bounds the statements at work until ceilingTo.
+	ceiling   int
+	ceilingTo bbrtype.Mono
 }
 
 // Want is what a statement needs.
@@ -200,7 +206,7 @@
 	var best *seat
 	var bestCost time.Duration
 	for _, s := range b.seats {
-		if !s.canServe(w, now) || s.inUse >= s.Limit {
+		if !s.canServe(w, now) || !s.hasRoom(now) {
 			continue
 		}
 		cost := s.cost(w)
@@ -228,6 +234,14 @@
 	return !s.Leaving && s.isFresh(w.Floor, now)
 }
 
+// hasRoom reports whether another statement may be sent to a member.
+func (s *seat) hasRoom(now bbrtype.Mono) bool {
+	if now < s.ceilingTo && s.inUse >= s.ceiling {
+		return false
+	}
+	return s.inUse < s.Limit
+}
+
 // isFresh reports whether a replica is expected to have a position.
 func (s *seat) isFresh(floor bbrmessage.Place, now bbrtype.Mono) bool {
 	if !s.applied.IsBefore(floor) {
@@ -277,6 +291,21 @@
 	}
 }
 
+// Full notes that a member refused a connection, while a number of others were
+// open.
+func (b *Board) Full(id bbrtype.MemberName, open int, now bbrtype.Mono) {
+	s := b.seats[id]
+	if s == nil {
+		return
+	}
+	s.ceiling, s.ceilingTo = open, now.Add(fullPause)
+	if open == 0 {
+		// Nothing would tell when there is room again.
+		s.ceiling, s.ceilingTo = 1, now.Add(busyPause)
+		s.pausedTo = now.Add(busyPause)
+	}
+}
+
 // Failed notes that a member did not answer.
 func (b *Board) Failed(id bbrtype.MemberName, now bbrtype.Mono) {
 	if s := b.seats[id]; s != nil {
--- a/bbrplace/place_test.go
+++ b/bbrplace/place_test.go
@@ -65,6 +65,10 @@
 		"one that leaves takes nothing new": {prepare: func(b *Board) {
 			b.SetMember(Member{ID: "r1", Near: true, Leaving: true, Limit: 2})
 		}, member: "r2"},
+		"a full member is used as far as it took connections": {prepare: func(b *Board) {
+			ask(b, Want{Only: "r1"}, start)
+			b.Full("r1", 1, start)
+		}, member: "r2"},
 		"one that did not answer rests": {prepare: func(b *Board) { b.Failed("r1", start) }, member: "r2"},
 	}
 	for name, tt := range tests {
