Notice a silent primary by what it owes, and change it sooner

Cause: a dark primary was noticed when the first statement ran out of its time, and a change waited twice for its answer: 2 to 2.8 s without a primary, and reads of a stated age ended with it. A primary cut off from its replicas answered and so was never replaced. Reads were refused at once while a proof was on its way. Ruled out: the promotion itself (1 s here) and the naming (a few ms). Change: an instance looks at a primary that has owed an answer for 250 ms; commits that are not confirmed count; a primary from which replicas go on receiving is left alone; a change does not wait for the old primary; reads wait for a proof. Tests: TestDue, TestMayStepDown.

--- a/bbrlink/conn.go
+++ b/bbrlink/conn.go
@@ -13,6 +13,7 @@
 // Conn is a connection to a member that one statement or transaction has to
 // itself until it is given back.
 type Conn struct {
+	group  *Group
 	member bbrdirectory.Member
 	wire   bbrmessage.MemberConn
 	// values and prepared are what the member holds for this connection.
@@ -86,9 +87,11 @@
 var errPrelude = errors.New("the member refused to set up the connection")
 
 // Run sends a statement behind its prelude and returns the reply to it. After an
-// error the connection is broken, and whether the statement has run is unknown;
-// ErrNotSent tells that it was not sent.
+// error the connection is broken, and whether the statement has run is unknown.
 func (c *Conn) Run(deadline time.Time, prelude []bbrmessage.Guarded, g bbrmessage.Guarded) (bbrmessage.Reply, error) {
+	sentAt := c.group.Clock.Now()
+	c.group.sent(c.member.ID, sentAt)
+	defer c.group.answered(c.member.ID, sentAt)
 	if err := c.wire.Send(deadline, append(prelude, g)...); err != nil {
 		c.broken = true
 		return bbrmessage.Reply{}, errors.Wrapf(err, "send to member %s", c.member.ID)
--- a/bbrlink/evidence.go
+++ b/bbrlink/evidence.go
@@ -14,7 +14,7 @@
 )
 
 // lookTimeout bounds a look at a member.
-const lookTimeout = 700 * time.Millisecond
+const lookTimeout = 400 * time.Millisecond
 
 // Evidence is what an answer showed.
 type Evidence struct {
@@ -49,6 +49,7 @@
 		return
 	}
 	if e.Commit {
+		g.stalledAt, g.committedAt = 0, max(g.committedAt, e.SentAt)
 		g.acked = bbrmessage.Latest(g.acked, e.Reply.Place)
 	}
 	if e.Commit && e.Reply.Place.Term == g.primary.Term && g.service.SyncReplicas > 0 {
@@ -88,6 +89,69 @@
 	g.closeIdle(id)
 }
 
+// sent notes that a member owes an answer. The caller gives the time back to
+// answered.
+func (g *Group) sent(id bbrtype.MemberName, at bbrtype.Mono) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.owed[id] == nil {
+		g.owed[id] = map[bbrtype.Mono]int{}
+	}
+	g.owed[id][at]++
+}
+
+// answered notes that what was sent at a time is no longer waited for.
+func (g *Group) answered(id bbrtype.MemberName, at bbrtype.Mono) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.owed[id][at]--; g.owed[id][at] <= 0 {
+		delete(g.owed[id], at)
+	}
+}
+
+// Silent returns since when a member has owed answers without giving any, 0 if
+// it owes none.
+func (g *Group) Silent(id bbrtype.MemberName) bbrtype.Mono {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.silentSince(id)
+}
+
+// silentSince is Silent. The caller holds mu.
+func (g *Group) silentSince(id bbrtype.MemberName) bbrtype.Mono {
+	first := bbrtype.Mono(0)
+	for at := range g.owed[id] {
+		if at > g.contact[id].answered && (first == 0 || at < first) {
+			first = at
+		}
+	}
+	return first
+}
+
+// AnsweredSince reports whether a member has answered anything since a time.
+func (g *Group) AnsweredSince(id bbrtype.MemberName, at bbrtype.Mono) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.contact[id].answered > at
+}
+
+// Stalled returns since when the primary has not confirmed commits although it
+// answers, 0 if it confirms them.
+func (g *Group) Stalled() bbrtype.Mono {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.stalledAt
+}
+
+// NoteStall takes in that a commit sent at a time was not confirmed.
+func (g *Group) NoteStall(id bbrtype.MemberName, sentAt bbrtype.Mono) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if id == g.primary.Member && g.stalledAt == 0 && sentAt > g.committedAt {
+		g.stalledAt = sentAt
+	}
+}
+
 // Failing returns since when a member has not answered, 0 if its last answer was
 // good.
 func (g *Group) Failing(id bbrtype.MemberName) bbrtype.Mono {
--- a/bbrlink/group.go
+++ b/bbrlink/group.go
@@ -40,7 +40,7 @@
 
 const (
 	// dialTimeout bounds the making of a connection to a member.
-	dialTimeout = 600 * time.Millisecond
+	dialTimeout = 400 * time.Millisecond
 	// spareParts is the part of a member's connections that the instances leave
 	// free, as one of so many: members hold the connections of instances that lost
 	// power for some seconds, and those that start again need others.
@@ -83,6 +83,11 @@
 	primary Primary
 	proof   bbrproof.Authority
 	contact map[bbrtype.MemberName]contact
+	// owed are the times of what was sent to each member and is not answered.
+	owed map[bbrtype.MemberName]map[bbrtype.Mono]int
+	// committedAt is when the newest confirmed commit was sent, stalledAt when the
+	// first one after it was sent that was not confirmed.
+	committedAt, stalledAt bbrtype.Mono
 	// proving is closed when the proof that is under way has ended.
 	proving  chan struct{}
 	provedAt bbrtype.Mono
@@ -114,6 +119,7 @@
 		idle:    map[bbrtype.MemberName][]*Conn{},
 		open:    map[bbrtype.MemberName]int{},
 		contact: map[bbrtype.MemberName]contact{},
+		owed:    map[bbrtype.MemberName]map[bbrtype.Mono]int{},
 	}
 }
 
@@ -186,7 +192,7 @@
 	}
 	g.Log.WithFields(logrus.Fields{"group": g.name, "member": p.Member, "term": p.Term, "before": g.primary.Member, "termBefore": g.primary.Term}).Info("primary in use")
 	g.primary = p
-	g.demotedAt = 0
+	g.demotedAt, g.stalledAt = 0, 0
 	g.proof.Reset(p.Term, g.Clock.Now())
 	g.refresh()
 	if wait := p.UsableFrom.Sub(g.Clock.Now()); wait > 0 {
@@ -302,7 +308,7 @@
 	g.mu.Lock()
 	g.open[m.ID]++
 	g.mu.Unlock()
-	return &Conn{member: m, wire: wire}, nil
+	return &Conn{group: g, member: m, wire: wire}, nil
 }
 
 // MemberError is an error of one member. Nothing was run.
@@ -335,6 +341,9 @@
 	c := g.contact[id]
 	if c.failingAt == 0 {
 		c.failingAt = now
+		if since := g.silentSince(id); since != 0 {
+			c.failingAt = since
+		}
 	}
 	g.contact[id] = c
 }
--- a/bbrnode/change.go
+++ b/bbrnode/change.go
@@ -22,6 +22,9 @@
 	// stepDownAfter is how long a change waits for all replicas before the old
 	// primary is told to step down.
 	stepDownAfter = 300 * time.Millisecond
+	// oldPatience is how much longer than for the others is waited for the old
+	// primary's answer.
+	oldPatience = 40 * time.Millisecond
 	// promoteAgain is how long a promotion may take before it is ordered again.
 	promoteAgain = 2500 * time.Millisecond
 	// changeTime bounds a change. One that takes longer is given up and tried anew.
@@ -172,28 +175,31 @@
 // reachBarrier holds replication until nothing more can be acknowledged by the
 // old primary. It returns the choice and when the barrier was reached.
 func (c *change) reachBarrier(ctx context.Context) (bbrsuccession.Choice, bbrtype.Mono, error) {
-	c.term = bbrsuccession.NextTerm(c.node.looks(ctx, c.group), c.old.Term)
+	c.term = c.old.Term + 1
 	var why string
+	stepDown := false
 	for c.inTime(ctx) {
-		looks := c.hold(ctx)
-		choice := bbrsuccession.Choose(bbrsuccession.Question{
+		looks := c.hold(ctx, stepDown)
+		question := bbrsuccession.Question{
 			Members: looks, Old: c.old.Member, Term: c.term,
 			Sync: c.group.Service().SyncReplicas, Acked: c.group.Acked(),
-		})
+		}
+		choice := bbrsuccession.Choose(question)
 		if choice.Decision != bbrsuccession.DecisionWait {
 			c.log.WithFields(logrus.Fields{"decision": choice.Decision, "member": choice.Member, "term": choice.Term, "looks": looks}).Info("barrier reached")
 			return choice, c.node.clock.Now(), nil
 		}
 		why = choice.Why
+		c.term = max(c.term, bbrsuccession.HeldTerm(looks))
+		stepDown = c.node.clock.Now().Sub(c.began) > stepDownAfter && bbrsuccession.MayStepDown(question)
 		sleep(ctx, stepPause)
 	}
 	return bbrsuccession.Choice{}, 0, errors.Errorf("the barrier was not reached: %s", why)
 }
 
 // hold asks every replica to hold replication and returns what they told.
-func (c *change) hold(ctx context.Context) []bbrsuccession.Candidate {
-	stepDown := c.node.clock.Now().Sub(c.began) > stepDownAfter
-	out := c.node.ask(ctx, c.group, func(ctx context.Context, id bbrtype.MemberName) (bbrmessage.Look, error) {
+func (c *change) hold(ctx context.Context, stepDown bool) []bbrsuccession.Candidate {
+	out := c.node.ask(ctx, c.group, c.old.Member, func(ctx context.Context, id bbrtype.MemberName) (bbrmessage.Look, error) {
 		switch {
 		case id != c.old.Member:
 			return c.group.Hold(ctx, id, c.term)
@@ -252,7 +258,7 @@
 
 // release lets the replicas receive again and tells the old primary to follow.
 func (c *change) release(ctx context.Context, choice bbrsuccession.Choice) {
-	c.node.ask(ctx, c.group, func(ctx context.Context, id bbrtype.MemberName) (bbrmessage.Look, error) {
+	c.node.ask(ctx, c.group, c.old.Member, func(ctx context.Context, id bbrtype.MemberName) (bbrmessage.Look, error) {
 		if id == choice.Member {
 			return bbrmessage.Look{}, nil
 		}
@@ -265,7 +271,7 @@
 
 // giveUp undoes what a change has done so far.
 func (c *change) giveUp(ctx context.Context) {
-	c.node.ask(ctx, c.group, func(ctx context.Context, id bbrtype.MemberName) (bbrmessage.Look, error) {
+	c.node.ask(ctx, c.group, c.old.Member, func(ctx context.Context, id bbrtype.MemberName) (bbrmessage.Look, error) {
 		if id == c.old.Member {
 			return bbrmessage.Look{}, nil
 		}
@@ -283,22 +289,38 @@
 
 // looks asks all members of a group for their state.
 func (n *Node) looks(ctx context.Context, g *bbrlink.Group) []bbrsuccession.Candidate {
-	return n.ask(ctx, g, g.LookAt)
+	return n.ask(ctx, g, "", g.LookAt)
 }
 
-// ask puts a question to all members of a group at once.
-func (n *Node) ask(ctx context.Context, g *bbrlink.Group, question func(context.Context, bbrtype.MemberName) (bbrmessage.Look, error)) []bbrsuccession.Candidate {
+// ask puts a question to all members of a group at once. For one of them, which
+// may not answer, it waits little longer than for the others.
+func (n *Node) ask(ctx context.Context, g *bbrlink.Group, impatient bbrtype.MemberName, question func(context.Context, bbrtype.MemberName) (bbrmessage.Look, error)) []bbrsuccession.Candidate {
 	members := g.Members()
 	answers := make(chan bbrsuccession.Candidate, len(members))
+	waiting := map[bbrtype.MemberName]bbrsuccession.Candidate{}
 	for _, m := range members {
+		waiting[m.ID] = bbrsuccession.Candidate{ID: m.ID, Draining: m.Draining}
 		n.aside(func() {
 			look, err := question(ctx, m.ID)
 			answers <- bbrsuccession.Candidate{ID: m.ID, Draining: m.Draining, Answered: err == nil, Look: look}
 		})
 	}
 	out := make([]bbrsuccession.Candidate, 0, len(members))
-	for range members {
-		out = append(out, <-answers)
+	var enough <-chan time.Time
+	for len(waiting) > 0 {
+		if c, ok := waiting[impatient]; ok && len(waiting) == 1 {
+			if enough == nil {
+				enough = time.After(oldPatience)
+			}
+			select {
+			case c = <-answers:
+			case <-enough:
+			}
+			return append(out, c)
+		}
+		c := <-answers
+		delete(waiting, c.ID)
+		out = append(out, c)
 	}
 	return out
 }
--- a/bbrnode/keeper.go
+++ b/bbrnode/keeper.go
@@ -25,7 +25,12 @@
 	sampleBefore = 800 * time.Millisecond
 	// lookEvery is how often members are looked at while the primary is unknown or
 	// does not answer.
-	lookEvery = 250 * time.Millisecond
+	lookEvery = 150 * time.Millisecond
+	// silenceBeforeLook is how long a primary may owe answers before it is looked
+	// at.
+	silenceBeforeLook = 250 * time.Millisecond
+	// receivedFresh is how long a look at replicas may serve to see them move.
+	receivedFresh = time.Second
 	// vouchTimeout bounds the question to the store whether a change has begun.
 	vouchTimeout = 350 * time.Millisecond
 )
@@ -58,8 +63,10 @@
 	switch {
 	case p.Member == "":
 		n.aside(func() { n.identify(ctx, g) })
-	case g.Failing(p.Member) != 0 || g.Demoted() != 0:
+	case g.Failing(p.Member) != 0 || g.Demoted() != 0 || g.Stalled() != 0:
 		n.aside(func() { n.examine(ctx, g, p) })
+	case n.isSilent(g, p.Member):
+		n.aside(func() { _, _ = g.LookAt(ctx, p.Member) })
 	case n.isDue(g, p):
 		n.aside(func() { n.change(ctx, g, p) })
 	case n.clock.Now().Sub(g.Newest()) > sampleBefore:
@@ -104,22 +111,74 @@
 	g.SetPrimary(p)
 }
 
-// examine looks at members while the primary does not answer, and changes it if
-// that is due.
+// isSilent reports whether a member has owed answers for so long that it is to be
+// looked at.
+func (n *Node) isSilent(g *bbrlink.Group, id bbrtype.MemberName) bool {
+	since := g.Silent(id)
+	return since != 0 && n.clock.Now().Sub(since) > silenceBeforeLook
+}
+
+// examine looks at members while the primary does not answer or does not confirm
+// commits, and changes it if that is due.
 func (n *Node) examine(ctx context.Context, g *bbrlink.Group, p bbrlink.Primary) {
-	if look, err := g.LookAt(ctx, p.Member); err == nil && look.Role == bbrmessage.RolePrimary && g.Demoted() == 0 {
-		return
+	members := n.looks(ctx, g)
+	n.noteReceived(g.Name(), p, members)
+	for _, c := range members {
+		if c.Answered && c.Look.Role == bbrmessage.RolePrimary && c.Look.Term > p.Term {
+			n.identify(ctx, g)
+			return
+		}
 	}
-	n.identify(ctx, g)
 	if g.Primary() == p && n.isDue(g, p) {
 		n.change(ctx, g, p)
 	}
 }
 
+// received is the newest position of a primary that a replica was seen to have.
+type received struct {
+	primary bbrlink.Primary
+	place   bbrmessage.Place
+	// at is when it was last seen to move, lookedAt when it was last looked at.
+	at, lookedAt bbrtype.Mono
+}
+
+// noteReceived notes how far replicas have received from a primary.
+func (n *Node) noteReceived(name bbrtype.GroupName, p bbrlink.Primary, members []bbrsuccession.Candidate) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.clock.Now()
+	r := n.received[name]
+	if r.primary != p || now.Sub(r.lookedAt) > receivedFresh {
+		r = received{primary: p}
+	}
+	for _, c := range members {
+		if !c.Answered || c.ID == p.Member || !r.place.IsBefore(c.Look.Received) {
+			continue
+		}
+		if !r.place.IsZero() {
+			r.at = now
+		}
+		r.place = c.Look.Received
+	}
+	r.lookedAt = now
+	n.received[name] = r
+}
+
+// receivedAt returns when replicas were last seen to receive from a primary.
+func (n *Node) receivedAt(name bbrtype.GroupName, p bbrlink.Primary) bbrtype.Mono {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if r := n.received[name]; r.primary == p {
+		return r.at
+	}
+	return 0
+}
+
 // isDue reports whether the primary is to be replaced.
 func (n *Node) isDue(g *bbrlink.Group, p bbrlink.Primary) bool {
 	s := bbrsuccession.Situation{
 		FailingSince: g.Failing(p.Member), DemotedSince: g.Demoted(),
+		StalledSince: g.Stalled(), ReceivedAt: n.receivedAt(g.Name(), p),
 		Gone: true, Informed: !g.Acked().IsZero(),
 	}
 	for _, m := range g.Members() {
--- a/bbrnode/node.go
+++ b/bbrnode/node.go
@@ -83,6 +83,7 @@
 	badSeen  map[string]int64
 	// changing are the groups whose change of primary this instance makes.
 	changing map[bbrtype.GroupName]bool
+	received map[bbrtype.GroupName]received
 }
 
 // New returns an instance that does not run yet.
@@ -95,6 +96,7 @@
 		loaded:   map[string]bool{},
 		badSeen:  map[string]int64{},
 		changing: map[bbrtype.GroupName]bool{},
+		received: map[bbrtype.GroupName]received{},
 	}
 	n.sessions = bbrsession.New(bbrsession.Deps{
 		Catalog: &n.catalog, Group: n.group, Clock: n.clock, Log: log, Work: n.work, Record: n.metrics,
--- a/bbrsession/statement.go
+++ b/bbrsession/statement.go
@@ -24,6 +24,8 @@
 	answerMargin = 20 * time.Millisecond
 	// againPause is the pause before a member that was busy is asked again.
 	againPause = 15 * time.Millisecond
+	// provePause is the pause before a proof is asked for again.
+	provePause = 60 * time.Millisecond
 	// usualTimeout bounds statements of routes that state no time.
 	usualTimeout = 2 * time.Second
 )
@@ -156,12 +158,11 @@
 		return bbrplace.Want{PrimaryOnly: true}, nil
 	}
 	floor, ok := a.group.Floor(a.since, a.route.MaxAge-ageMargin)
-	if !ok {
+	for !ok {
 		a.prove(ctx)
-		floor, ok = a.group.Floor(a.since, a.route.MaxAge-ageMargin)
-	}
-	if !ok {
-		return bbrplace.Want{}, busy("no position of the primary is known that is recent enough")
+		if floor, ok = a.group.Floor(a.since, a.route.MaxAge-ageMargin); !ok && !a.pause(ctx, provePause) {
+			return bbrplace.Want{}, busy("no position of the primary is known that is recent enough")
+		}
 	}
 	if a.route.Policy == bbrcatalog.PolicyOwnWrites {
 		floor = bbrmessage.Latest(floor, a.x.written)
@@ -196,8 +197,16 @@
 	if a.group.Covers(a.under, a.since) {
 		return true
 	}
-	a.prove(ctx)
-	return a.group.Covers(a.under, a.since)
+	for a.group.Primary() == a.under {
+		a.prove(ctx)
+		if a.group.Covers(a.under, a.since) {
+			return true
+		}
+		if !a.pause(ctx, provePause) {
+			return false
+		}
+	}
+	return false
 }
 
 // read serves a read outside of a transaction. It is tried again elsewhere while
@@ -230,8 +239,7 @@
 	sentAt := x.server.Clock.Now()
 	reply, err := conn.Run(limit, conn.Prelude(&x.held, name), bbrmessage.Guarded{ID: a.st.ID, Text: text, After: want.Floor})
 	if err != nil {
-		a.group.NoteSilence(id)
-		a.group.Release(conn)
+		a.lost(conn, sentAt, err)
 		return a.again(ctx, id, &bbrmessage.Failure{Class: bbrmessage.ClassAborted, Text: err.Error()})
 	}
 	a.group.Note(conn, bbrlink.Evidence{SentAt: sentAt, Reply: reply, Floor: want.Floor})
@@ -251,6 +259,21 @@
 	return bbrmessage.Reply{Rows: reply.Rows, Proof: reply.Proof, State: bbrmessage.StateIdle}, false
 }
 
+// lost gives back a connection on which a reply was lost. If the member answered
+// others meanwhile, only this statement is stuck there: a commit that no replica
+// confirms, or a slow one.
+func (a *attempt) lost(conn *bbrlink.Conn, sentAt bbrtype.Mono, err error) {
+	id := conn.Member().ID
+	if isTimeout(err) && a.group.AnsweredSince(id, sentAt) {
+		if a.access == bbrmessage.AccessWrite {
+			a.group.NoteStall(id, sentAt)
+		}
+	} else {
+		a.group.NoteSilence(id)
+	}
+	a.group.Release(conn)
+}
+
 // again notes a failed try. It returns the answer to give if there is no time
 // for another one.
 func (a *attempt) again(ctx context.Context, id bbrtype.MemberName, f *bbrmessage.Failure) (bbrmessage.Reply, bool) {
@@ -293,8 +316,7 @@
 		sentAt := x.server.Clock.Now()
 		reply, err := conn.Run(a.until(), conn.Prelude(&x.held, name), bbrmessage.Guarded{ID: a.st.ID, Text: text})
 		if err != nil {
-			a.group.NoteSilence(conn.Member().ID)
-			a.group.Release(conn)
+			a.lost(conn, sentAt, err)
 			return x.fail(&bbrmessage.Failure{Class: bbrmessage.ClassInDoubt, Text: err.Error()})
 		}
 		a.group.Note(conn, bbrlink.Evidence{SentAt: sentAt, Reply: reply, Commit: true})
--- a/bbrsession/transaction.go
+++ b/bbrsession/transaction.go
@@ -46,9 +46,8 @@
 	sentAt := x.server.Clock.Now()
 	reply, err := conn.Run(a.until(), conn.Prelude(&x.held, name), bbrmessage.Guarded{ID: a.st.ID, Text: text})
 	if err != nil {
-		a.group.NoteSilence(conn.Member().ID)
 		x.tx.conn = nil
-		a.group.Release(conn)
+		a.lost(conn, sentAt, err)
 		return reply, false
 	}
 	_, isCommit := a.st.Op.(bbrmessage.Commit)
@@ -97,8 +96,7 @@
 	begin := bbrmessage.Guarded{ID: bbrmessage.OwnID, Text: conn.Texts().Begin(x.tx.readOnly), After: want.Floor}
 	reply, err := conn.Run(a.beginLimit(), conn.Prelude(&x.held, ""), begin)
 	if err != nil {
-		a.group.NoteSilence(id)
-		a.group.Release(conn)
+		a.lost(conn, sentAt, err)
 		r, again := a.again(ctx, id, &bbrmessage.Failure{Class: bbrmessage.ClassAborted, Text: err.Error()})
 		return r.Failure, again
 	}
--- a/bbrsuccession/succession.go
+++ b/bbrsuccession/succession.go
@@ -30,7 +30,12 @@
 
 const (
 	// SilenceLimit is how long a primary may fail to answer before it is replaced.
-	SilenceLimit = 900 * time.Millisecond
+	SilenceLimit = 600 * time.Millisecond
+	// stallLimit is how long a primary that answers may leave commits unconfirmed.
+	stallLimit = 900 * time.Millisecond
+	// elsewhereTime is how long a primary counts as alive after a replica was seen
+	// to receive from it.
+	elsewhereTime = 500 * time.Millisecond
 	// ClaimTime is how long an instance may act on its claim, from the moment
 	// that it last wrote it.
 	ClaimTime = 2 * time.Second
@@ -153,6 +158,26 @@
 	Acked bbrmessage.Place
 }
 
+// MayStepDown reports whether the old primary may be told to step down before all
+// replicas hold: a replica that holds has all that it has.
+func MayStepDown(q Question) bool {
+	var old bbrmessage.Place
+	for _, m := range q.Members {
+		if m.ID == q.Old && m.Answered {
+			old = m.Look.Received
+		}
+	}
+	if old.IsZero() {
+		return false
+	}
+	for _, m := range q.Members {
+		if m.ID != q.Old && m.Answered && m.Look.Held >= q.Term && !m.Look.Received.IsBefore(old) {
+			return true
+		}
+	}
+	return false
+}
+
 // Choose compares the members' positions. An acknowledged commit is in the log of
 // the old primary and of Sync replicas. So all replicas have to hold, less
 // Sync - 1 of them, or the old primary has to have stepped down. A replica that
@@ -225,15 +250,16 @@
 	}), true
 }
 
-// NextTerm returns the term under which a change holds replication.
-func NextTerm(members []Candidate, known bbrtype.Term) bbrtype.Term {
-	t := known
+// HeldTerm returns the newest term that a member holds or belongs to. A change has
+// to hold under it at least.
+func HeldTerm(members []Candidate) bbrtype.Term {
+	t := bbrtype.Term(0)
 	for _, m := range members {
 		if m.Answered {
 			t = max(t, m.Look.Term, m.Look.Held)
 		}
 	}
-	return t + 1
+	return t
 }
 
 // Situation is what an instance knows of a primary when it asks whether a change
@@ -244,6 +270,12 @@
 	// DemotedSince is when the primary first said that it does not lead, 0 if it
 	// leads.
 	DemotedSince bbrtype.Mono
+	// StalledSince is when the first commit was sent that the primary has not
+	// confirmed, 0 if it confirms them.
+	StalledSince bbrtype.Mono
+	// ReceivedAt is when a replica was last seen to have received from it since it
+	// fails.
+	ReceivedAt bbrtype.Mono
 	// Draining is set if the primary is about to leave.
 	Draining bool
 	// Gone is set if the primary has no entry any more.
@@ -261,6 +293,11 @@
 	switch {
 	case s.Draining:
 		return "the primary is leaving", true
+	case s.ReceivedAt != 0 && now.Sub(s.ReceivedAt) < elsewhereTime:
+		// Others reach it, so only the way from here is cut.
+		return "", false
+	case s.StalledSince != 0 && now.Sub(s.StalledSince) > stallLimit:
+		return "commits are not confirmed", true
 	case s.FailingSince != 0 && now.Sub(s.FailingSince) > limit:
 		return "the primary does not answer", true
 	case s.DemotedSince != 0 && now.Sub(s.DemotedSince) > limit:
--- a/bbrsuccession/succession_test.go
+++ b/bbrsuccession/succession_test.go
@@ -159,6 +159,10 @@
 		"it is silent":                         {s: Situation{FailingSince: now.Add(-SilenceLimit - 1), Informed: true}, want: true},
 		"one who knows little waits longer":    {s: Situation{FailingSince: now.Add(-SilenceLimit - 1)}},
 		"one who knows little acts in the end": {s: Situation{FailingSince: now.Add(-SilenceLimit - uninformedPause - 1)}, want: true},
+		"others reach it":                      {s: Situation{FailingSince: now.Add(-time.Minute), ReceivedAt: now.Add(-elsewhereTime / 2), Informed: true}},
+		"nobody reaches it any more":           {s: Situation{FailingSince: now.Add(-time.Minute), ReceivedAt: now.Add(-elsewhereTime - 1), Informed: true}, want: true},
+		"a commit is slow":                     {s: Situation{StalledSince: now.Add(-stallLimit / 2), Informed: true}},
+		"commits are not confirmed":            {s: Situation{StalledSince: now.Add(-stallLimit - 1), Informed: true}, want: true},
 		"nobody leads":                         {s: Situation{DemotedSince: now.Add(-SilenceLimit - 1), Informed: true}, want: true},
 		"its entry is gone":                    {s: Situation{Gone: true, Informed: true}, want: true},
 	}
@@ -170,3 +174,22 @@
 		})
 	}
 }
+
+func TestMayStepDown(t *testing.T) {
+	tests := map[string]struct {
+		members []Candidate
+		want    bool
+	}{
+		"a replica that holds has all":       {members: []Candidate{leading("old", 9, 1), holding("r1", 9, 2), silent("r2")}, want: true},
+		"no replica has all":                 {members: []Candidate{leading("old", 9, 1), holding("r1", 8, 2), silent("r2")}},
+		"the one that has all does not hold": {members: []Candidate{leading("old", 9, 1), holding("r1", 9, 0), silent("r2")}},
+		"no replica answers":                 {members: []Candidate{leading("old", 9, 1), silent("r1"), silent("r2")}},
+		"the old one does not answer":        {members: []Candidate{silent("old"), holding("r1", 9, 2), silent("r2")}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(MayStepDown(Question{Members: tt.members, Old: "old", Term: 2, Sync: 1}), tt.want)
+		})
+	}
+}
