--- a/bbrnode/node.go
+++ b/bbrnode/node.go
@@ -134,7 +134,7 @@
 			}
 		}
 	}
-	return table{name: n.ports.ConfigTable, replace: func(rows []bbrrows.Row) {
+	return table{name: n.ports.ConfigTable, wait: configWait, replace: func(rows []bbrrows.Row) {
 		take(rows)
 		n.markLoaded(n.ports.ConfigTable)
 	}, apply: take}
@@ -159,6 +159,7 @@
 func (n *Node) memberTable() table {
 	return table{
 		name: n.ports.MemberTable,
+		wait: memberWait,
 		replace: func(rows []bbrrows.Row) {
 			var all []bbrdirectory.Member
 			for _, r := range rows {
@@ -242,7 +243,7 @@
 			n.takeRecord(r)
 		}
 	}
-	return table{name: groupTable, replace: func(rows []bbrrows.Row) {
+	return table{name: groupTable, wait: recordWait, replace: func(rows []bbrrows.Row) {
 		take(rows)
 		n.markLoaded(groupTable)
 	}, apply: take}
--- a/bbrnode/watch.go
+++ b/bbrnode/watch.go
@@ -15,11 +15,19 @@
 	storePause = 200 * time.Millisecond
 	// storePauseMost bounds the pause as failures go on.
 	storePauseMost = time.Second
+	// configWait, memberWait and recordWait bound questions for changes. The record
+	// of a group is also read with each proof.
+	configWait = 2500 * time.Millisecond
+	memberWait = 4 * time.Second
+	recordWait = 12 * time.Second
 )
 
 // table is a table of the store that an instance follows.
 type table struct {
 	name string
+	// wait is how long a question for changes is left with the store. One that is
+	// lost on a silent connection is noticed not much later.
+	wait time.Duration
 	// replace takes in a whole reading, apply a few changes.
 	replace func(rows []bbrrows.Row)
 	apply   func(rows []bbrrows.Row)
@@ -70,7 +78,7 @@
 		t.replace(rows)
 		return v, nil
 	}
-	feed, err := store.Follow(ctx, t.name, version)
+	feed, err := store.Follow(ctx, t.name, version, t.wait)
 	if err != nil {
 		return version, err
 	}
--- a/bbrrows/rows.go
+++ b/bbrrows/rows.go
@@ -4,12 +4,13 @@
 // # Usage
 //
 //	rows, version, err := store.Read(ctx, "groups")
-//	feed, err := store.Follow(ctx, "groups", version)
+//	feed, err := store.Follow(ctx, "groups", version, 10*time.Second)
 //	version, err = store.Write(ctx, bbrrows.Change{Expected: …, Set: …})
 package bbrrows
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -60,9 +61,8 @@
 	// reading of one moment.
 	Read(ctx context.Context, table string) ([]Row, int64, error)
 	// Follow returns the changes after a version. It waits for the first one, at
-	// most for a time of the implementation. It returns ErrForgotten if the store
-	// no longer has them.
-	Follow(ctx context.Context, table string, after int64) (Feed, error)
+	// most for a time. It returns ErrForgotten if the store no longer has them.
+	Follow(ctx context.Context, table string, after int64, wait time.Duration) (Feed, error)
 	// Write makes a change. It returns ErrConflict if a row had another version;
 	// after any other error the change may have been made.
 	Write(ctx context.Context, c Change) (int64, error)
