--- a/bbrcontrol/steward.go
+++ b/bbrcontrol/steward.go
@@ -16,7 +16,9 @@
 		if id == c.opts.Self.ID {
 			return rank
 		}
-		if !c.isGone(now, id, c.opts.Silence) {
+		// A steward that is no longer in the journal can't act, and its peers have
+		// no opinion of it.
+		if _, member := c.state.Instances[id]; member && !c.isGone(now, id, c.opts.Silence) {
 			rank++
 		}
 	}
