Let instances ask each other for proofs, positions and rows

Ruled out: one poller for all (an instance set aside for control), datagrams (an age can't be bounded without the time of the question). Change: bbrshare, a pull over twirp; ages count from the question, so that no clocks are compared; rows keep their versions in a mirror and never go back; a proof asks an instance of the same data centre before the store.

--- a/bbrlink/evidence.go
+++ b/bbrlink/evidence.go
@@ -179,6 +179,10 @@
 // proveGap is the least time between two proofs that are asked for.
 const proveGap = 100 * time.Millisecond
 
+// sharedAge is how old the proof of another instance may be to save a question to
+// the store.
+const sharedAge = 600 * time.Millisecond
+
 // positionFresh is how long a position that traffic told saves a look.
 const positionFresh = 500 * time.Millisecond
 
@@ -207,8 +211,8 @@
 	close(done)
 }
 
-// prove asks the store whether a change has begun, and the primary for its
-// position. If the store does not answer, the members are asked.
+// prove asks another instance. If that does not suffice, it asks the store whether
+// a change has begun, and the primary for its position. If the store does not answer, the members are asked.
 func (g *Group) prove(ctx context.Context, p Primary, wait time.Duration) {
 	if wait > 0 {
 		pause(ctx, wait)
@@ -216,6 +220,9 @@
 	if p.Member == "" {
 		return
 	}
+	if g.Ask(ctx) == nil && g.IsProven(sharedAge) {
+		return
+	}
 	vouched := make(chan error, 1)
 	g.Group.Go(func() error {
 		vouched <- g.Vouch(ctx)
@@ -271,6 +278,8 @@
 	proofByCommit  proofSource = "commit"
 	proofByStore   proofSource = "store"
 	proofByMembers proofSource = "members"
+	// proofByInstance is a proof that another instance had.
+	proofByInstance proofSource = "instance"
 )
 
 // take notes a proof, and logs it if the primary was not proven before. The
--- a/bbrlink/group.go
+++ b/bbrlink/group.go
@@ -64,6 +64,8 @@
 	// Vouch asks the store whether changes of primary have begun, and notes the
 	// proofs by ProveTerm.
 	Vouch func(ctx context.Context) error
+	// Ask asks another instance for its proofs, noted by TakeShared.
+	Ask func(ctx context.Context) error
 }
 
 // Group is a database group with this instance's connections to it.
--- a/bbrnode/change.go
+++ b/bbrnode/change.go
@@ -140,9 +140,9 @@
 			return err
 		}
 	}
+	c.node.takeRows([]bbrrows.Row{{RowName: row, Value: value, Version: version}})
 	c.node.mu.Lock()
 	defer c.node.mu.Unlock()
-	c.node.noteRecord(c.group.Name(), r, version)
 	c.known = c.node.records[c.group.Name()]
 	c.claimed = sentAt
 	return nil
@@ -165,9 +165,7 @@
 		if json.Unmarshal(r.Value, &have) == nil && have == want {
 			return r.Version, nil
 		}
-		c.node.mu.Lock()
-		c.node.takeRecord(r)
-		c.node.mu.Unlock()
+		c.node.takeRows([]bbrrows.Row{r})
 	}
 	return 0, cause
 }
--- a/bbrnode/keeper.go
+++ b/bbrnode/keeper.go
@@ -87,7 +87,8 @@
 
 // identify finds the primary by looking at all members.
 func (n *Node) identify(ctx context.Context, g *bbrlink.Group) {
-	if !n.hasLoaded(groupTable) {
+	loaded := n.hasLoaded(groupTable)
+	if !loaded && !n.isLost(groupTable) {
 		return
 	}
 	known := n.known(g.Name())
@@ -104,7 +105,7 @@
 		return
 	}
 	p := bbrlink.Primary{Member: best.ID, Term: best.Look.Term}
-	if known.Version != 0 {
+	if known.Version != 0 || !loaded {
 		// The change may not be over: older proofs have to run out first.
 		p.UsableFrom = n.clock.Now().Add(bbrproof.Lease)
 	}
@@ -193,6 +194,12 @@
 	return due
 }
 
+func (n *Node) isLost(name string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.lost[name]
+}
+
 func (n *Node) hasLoaded(name string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -211,12 +218,10 @@
 			return err
 		}
 		known := map[bbrtype.GroupName]bool{}
-		n.mu.Lock()
+		n.takeRows(rows)
 		for _, r := range rows {
 			known[bbrtype.GroupName(r.Key)] = true
-			n.takeRecord(r)
 		}
-		n.mu.Unlock()
 		for _, g := range n.allGroups() {
 			p := g.Primary()
 			if bbrsuccession.Proves(n.known(g.Name()).Record, known[g.Name()], p.Member, p.Term) {
--- a/bbrnode/node.go
+++ b/bbrnode/node.go
@@ -12,6 +12,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -24,6 +25,7 @@
 	"github.com/bluebellroute/bluebellroute/bbrmessage"
 	"github.com/bluebellroute/bluebellroute/bbrrows"
 	"github.com/bluebellroute/bluebellroute/bbrsession"
+	"github.com/bluebellroute/bluebellroute/bbrshare"
 	"github.com/bluebellroute/bluebellroute/bbrsuccession"
 	"github.com/bluebellroute/bluebellroute/bbrtype"
 )
@@ -56,6 +58,8 @@
 	Dial     bbrlink.Dialer
 	// Watch prepares a caller's connection, so that it is found when it goes silent.
 	Watch func(net.Conn)
+	// Transport makes connections to other instances.
+	Transport http.RoundTripper
 	// ReadyPath is where the platform asks whether the instance takes callers.
 	ReadyPath string
 }
@@ -71,14 +75,21 @@
 	sessions *bbrsession.Server
 	metrics  *metrics
 	voucher  shared
+	asker    shared
+	others   *bbrshare.Client
 
 	mu        sync.Mutex
 	directory bbrdirectory.Directory
 	records   map[bbrtype.GroupName]bbrsuccession.Known
 	groups    map[bbrtype.GroupName]*bbrlink.Group
 	instances int
-	// loaded are the tables that were read whole.
+	// peers are the other instances.
+	peers  []instanceEntry
+	mirror bbrrows.Mirror
+	// loaded are the tables that the store was read for, lost those that it does
+	// not answer for at present.
 	loaded   map[string]bool
+	lost     map[string]bool
 	stopping bool
 	badSeen  map[string]int64
 	// changing are the groups whose change of primary this instance makes.
@@ -94,6 +105,8 @@
 		records:  map[bbrtype.GroupName]bbrsuccession.Known{},
 		groups:   map[bbrtype.GroupName]*bbrlink.Group{},
 		loaded:   map[string]bool{},
+		lost:     map[string]bool{},
+		others:   bbrshare.NewClient(p.Transport),
 		badSeen:  map[string]int64{},
 		changing: map[bbrtype.GroupName]bool{},
 		received: map[bbrtype.GroupName]received{},
@@ -125,77 +138,40 @@
 // instanceCount returns the number of instances that share the members.
 func (n *Node) instanceCount() int { return max(1, n.instances) }
 
-// configTable follows the operator's configurations.
-func (n *Node) configTable() table {
-	take := func(rows []bbrrows.Row) {
-		for _, r := range rows {
-			if r.Key == n.ports.ConfigKey && !r.Deleted {
-				n.takeCatalogue(r.Value)
-			}
-		}
+// tables are the tables that an instance follows.
+func (n *Node) tables() []table {
+	return []table{
+		{name: n.ports.ConfigTable, wait: configWait},
+		{name: n.ports.MemberTable, wait: memberWait},
+		{name: groupTable, wait: recordWait},
 	}
-	return table{name: n.ports.ConfigTable, wait: configWait, replace: func(rows []bbrrows.Row) {
-		take(rows)
-		n.markLoaded(n.ports.ConfigTable)
-	}, apply: take}
 }
 
-func (n *Node) takeCatalogue(b []byte) {
-	c, err := n.ports.DecodeCatalogue(b)
+// takeCatalogue takes in the operator's document. The caller holds mu.
+func (n *Node) takeCatalogue(r bbrrows.Row) {
+	if r.Key != n.ports.ConfigKey || r.Deleted {
+		return
+	}
+	c, err := n.ports.DecodeCatalogue(r.Value)
 	if err != nil {
 		n.log.WithError(err).Error("configuration refused")
 		return
 	}
-	if !n.catalog.Offer(c) {
-		return
+	if n.catalog.Offer(c) {
+		n.log.WithFields(logrus.Fields{"version": c.Version, "routes": len(c.Routes)}).Info("configuration in force")
 	}
-	n.log.WithFields(logrus.Fields{"version": c.Version, "routes": len(c.Routes)}).Info("configuration in force")
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.refreshGroups()
 }
 
-// memberTable follows the members' directory.
-func (n *Node) memberTable() table {
-	return table{
-		name: n.ports.MemberTable,
-		wait: memberWait,
-		replace: func(rows []bbrrows.Row) {
-			var all []bbrdirectory.Member
-			for _, r := range rows {
-				if m, ok := n.decodeMember(r); ok {
-					all = append(all, m)
-				}
-			}
-			n.mu.Lock()
-			n.directory.Replace(all, n.clock.Now())
-			n.refreshGroups()
-			n.mu.Unlock()
-			n.markLoaded(n.ports.MemberTable)
-		},
-		apply: n.applyMembers,
-		trouble: func() {
-			n.mu.Lock()
-			defer n.mu.Unlock()
-			n.directory.Trouble(n.clock.Now())
-		},
+// takeMember takes in a member's entry. The caller holds mu.
+func (n *Node) takeMember(r bbrrows.Row) {
+	if r.Deleted {
+		n.log.WithField("member", r.Key).Info("member's entry gone")
+		n.directory.Remove(bbrtype.MemberName(r.Key), n.clock.Now())
+		return
 	}
-}
-
-func (n *Node) applyMembers(rows []bbrrows.Row) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, r := range rows {
-		if r.Deleted {
-			n.log.WithField("member", r.Key).Info("member's entry gone")
-			n.directory.Remove(bbrtype.MemberName(r.Key), n.clock.Now())
-			continue
-		}
-		if m, ok := n.decodeMember(r); ok {
-			n.directory.Put(m)
-		}
+	if m, ok := n.decodeMember(r); ok {
+		n.directory.Put(m)
 	}
-	n.refreshGroups()
 }
 
 // decodeMember reads an entry. A bad one is told once and left out.
@@ -226,7 +202,7 @@
 			}
 			g = bbrlink.NewGroup(name, bbrlink.Deps{
 				Dial: n.ports.Dial, Clock: n.clock, Log: n.log, Group: n.work,
-				DataCentre: n.settings.DataCentre, Instances: n.instanceCount, Vouch: n.vouch,
+				DataCentre: n.settings.DataCentre, Instances: n.instanceCount, Vouch: n.vouch, Ask: n.askNear,
 			})
 			n.groups[name] = g
 		}
@@ -234,23 +210,11 @@
 	}
 }
 
-// recordTable follows the groups' records.
-func (n *Node) recordTable() table {
-	take := func(rows []bbrrows.Row) {
-		n.mu.Lock()
-		defer n.mu.Unlock()
-		for _, r := range rows {
-			n.takeRecord(r)
-		}
-	}
-	return table{name: groupTable, wait: recordWait, replace: func(rows []bbrrows.Row) {
-		take(rows)
-		n.markLoaded(groupTable)
-	}, apply: take}
-}
-
 // takeRecord takes in a group's record. The caller holds mu.
 func (n *Node) takeRecord(r bbrrows.Row) {
+	if r.Deleted {
+		return
+	}
 	var rec bbrsuccession.Record
 	if err := json.Unmarshal(r.Value, &rec); err != nil {
 		n.log.WithField("group", r.Key).WithError(err).Error("record left out")
@@ -279,12 +243,6 @@
 	return n.records[name]
 }
 
-func (n *Node) markLoaded(name string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.loaded[name] = true
-}
-
 // isReady reports whether the instance takes callers.
 func (n *Node) isReady() bool {
 	n.mu.Lock()
@@ -303,7 +261,7 @@
 // register enters the instance in the store and counts the others now and then.
 func (n *Node) register(ctx context.Context) {
 	me := bbrrows.RowName{Table: instanceTable, Key: n.settings.Name}
-	entry, err := json.Marshal(map[string]string{"dataCentre": string(n.settings.DataCentre)})
+	entry, err := json.Marshal(instanceEntry{DataCentre: n.settings.DataCentre, Address: n.settings.Peers})
 	if err != nil {
 		n.log.WithError(err).Error("entry of the instance")
 		return
@@ -315,10 +273,7 @@
 			entered = err == nil
 		}
 		if rows, _, err := n.ports.Rows.Read(ctx, instanceTable); err == nil {
-			n.mu.Lock()
-			n.instances = len(rows)
-			n.refreshGroups()
-			n.mu.Unlock()
+			n.takeInstances(rows)
 		}
 		if !entered {
 			wait = countSoon
--- a/bbrnode/run.go
+++ b/bbrnode/run.go
@@ -9,6 +9,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
+
+	"github.com/bluebellroute/bluebellroute/bbrshare"
 )
 
 const (
@@ -39,9 +41,10 @@
 	if err := n.listenHTTP(life); err != nil {
 		return err
 	}
-	for _, t := range []table{n.configTable(), n.memberTable(), n.recordTable()} {
-		n.aside(func() { follow(life, n.ports.Rows, n.log, t) })
+	for _, t := range n.tables() {
+		n.aside(func() { n.follow(life, t) })
 	}
+	n.aside(func() { n.borrow(life) })
 	n.aside(func() { n.register(life) })
 	n.aside(func() { n.keep(life) })
 	n.aside(func() { n.accept(life, callers) })
@@ -101,7 +104,11 @@
 	})
 	metrics := http.NewServeMux()
 	metrics.Handle("/metrics", n.metrics.handler())
-	for address, h := range map[string]http.Handler{n.settings.Ready: ready, n.settings.Metrics: metrics} {
+	handlers := map[string]http.Handler{n.settings.Ready: ready, n.settings.Metrics: metrics}
+	if n.settings.Peers != "" {
+		handlers[n.settings.Peers] = bbrshare.Handler(n.share)
+	}
+	for address, h := range handlers {
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			return errors.Wrapf(err, "listen on %s", address)
--- a/bbrnode/settings.go
+++ b/bbrnode/settings.go
@@ -17,6 +17,11 @@
 	DataCentre bbrtype.DataCentre
 	// Callers, Ready and Metrics are the addresses listened on.
 	Callers, Ready, Metrics string
+	// Peers is the address for other instances. Without it the instance asks and
+	// answers none.
+	Peers string
+	// Seeds are addresses of other instances, asked while the store lists none.
+	Seeds []string
 	// Store and Promoter are the addresses of the platform's services.
 	Store, Promoter string
 	// Grace is the time from the order to stop to the end of the process.
@@ -53,6 +58,16 @@
 	s.Callers = r.Address("callers", "")
 	s.Ready = r.Address("ready", "")
 	s.Metrics = r.Address("metrics", "127.0.0.1:9464")
+	if r.Text("peers", "") != "" {
+		s.Peers = r.Address("peers", "")
+	}
+	r.Finish()
+	r = bbrini.NewReader(file, f.Section("peers"), &problems)
+	for _, seed := range r.List("seeds") {
+		if seed != s.Peers {
+			s.Seeds = append(s.Seeds, seed)
+		}
+	}
 	r.Finish()
 	r = bbrini.NewReader(file, f.Section("platform"), &problems)
 	s.Store = r.Address("store", "")
--- a/bbrnode/watch.go
+++ b/bbrnode/watch.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/sirupsen/logrus"
 
 	"github.com/bluebellroute/bluebellroute/bbrrows"
 )
@@ -28,39 +27,31 @@
 	// wait is how long a question for changes is left with the store. One that is
 	// lost on a silent connection is noticed not much later.
 	wait time.Duration
-	// replace takes in a whole reading, apply a few changes.
-	replace func(rows []bbrrows.Row)
-	apply   func(rows []bbrrows.Row)
-	// trouble is called when the table can't be read.
-	trouble func()
 }
 
 // follow keeps up with a table until ctx ends.
-func follow(ctx context.Context, store bbrrows.Rows, log logrus.FieldLogger, t table) {
+func (n *Node) follow(ctx context.Context, t table) {
 	version := int64(-1)
 	pause := storePause
-	lost := false
+	log := n.log.WithField("table", t.name)
 	for ctx.Err() == nil {
-		next, err := step(ctx, store, t, version)
+		next, err := n.step(ctx, t, version)
 		version = next
 		if err == nil {
-			if lost {
-				log.WithFields(logrus.Fields{"table": t.name, "version": version}).Info("store regained")
+			if n.setLost(t.name, false) {
+				log.WithField("version", version).Info("store regained")
 			}
-			lost, pause = false, storePause
+			pause = storePause
 			continue
 		}
 		if ctx.Err() != nil {
 			return
 		}
-		if !lost && !errors.Is(err, bbrrows.ErrForgotten) {
-			log.WithField("table", t.name).WithError(err).Warn("store lost")
-			lost = true
-		}
 		if errors.Is(err, bbrrows.ErrForgotten) {
+			log.WithField("version", version).Info("the store has forgotten changes; the table is read whole")
 			version = -1
-		} else if t.trouble != nil {
-			t.trouble()
+		} else if !n.setLost(t.name, true) {
+			log.WithError(err).Warn("store lost")
 		}
 		sleep(ctx, pause)
 		pause = min(2*pause, storePauseMost)
@@ -69,23 +60,69 @@
 
 // step reads the whole table if version is negative, else the changes since. It
 // returns where to go on.
-func step(ctx context.Context, store bbrrows.Rows, t table, version int64) (int64, error) {
+func (n *Node) step(ctx context.Context, t table, version int64) (int64, error) {
 	if version < 0 {
-		rows, v, err := store.Read(ctx, t.name)
+		rows, v, err := n.ports.Rows.Read(ctx, t.name)
 		if err != nil {
 			return version, err
 		}
-		t.replace(rows)
+		n.takeReading(t.name, rows, v)
 		return v, nil
 	}
-	feed, err := store.Follow(ctx, t.name, version, t.wait)
+	feed, err := n.ports.Rows.Follow(ctx, t.name, version, t.wait)
 	if err != nil {
 		return version, err
 	}
-	t.apply(feed.Rows)
+	n.takeRows(feed.Rows)
 	return max(feed.Version, version), nil
 }
 
+// setLost notes whether a table can't be read, and returns what it was before.
+func (n *Node) setLost(name string, lost bool) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	was := n.lost[name]
+	if lost {
+		n.lost[name] = true
+		n.directory.Trouble(n.clock.Now())
+	} else {
+		delete(n.lost, name)
+	}
+	return was
+}
+
+// takeReading takes in a whole reading of a table.
+func (n *Node) takeReading(name string, rows []bbrrows.Row, version int64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.takeNews(n.mirror.Replace(name, rows, version))
+	n.loaded[name] = true
+}
+
+// takeRows takes in rows, whoever told them.
+func (n *Node) takeRows(rows []bbrrows.Row) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.takeNews(n.mirror.Apply(rows))
+}
+
+// takeNews puts new rows in force. The caller holds mu.
+func (n *Node) takeNews(rows []bbrrows.Row) {
+	for _, r := range rows {
+		switch r.Table {
+		case n.ports.ConfigTable:
+			n.takeCatalogue(r)
+		case n.ports.MemberTable:
+			n.takeMember(r)
+		case groupTable:
+			n.takeRecord(r)
+		}
+	}
+	if len(rows) > 0 {
+		n.refreshGroups()
+	}
+}
+
 // sleep waits or returns early when ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
--- a/bbrproof/proof.go
+++ b/bbrproof/proof.go
@@ -135,6 +135,19 @@
 	return a.pending[len(a.pending)-1].at
 }
 
+// ProvenAt returns when the request of the newest proof was sent, 0 if nothing is
+// proven.
+func (a *Authority) ProvenAt() bbrtype.Mono { return a.provenAt }
+
+// NewestSample returns the newest proven sample, with the time 0 if there is none.
+func (a *Authority) NewestSample() (bbrtype.Mono, bbrmessage.Place) {
+	if len(a.proven) == 0 {
+		return 0, bbrmessage.Place{}
+	}
+	s := a.proven[len(a.proven)-1]
+	return s.at, s.place
+}
+
 // Newest returns when the newest sample under authority was taken.
 func (a *Authority) Newest() bbrtype.Mono {
 	if len(a.proven) == 0 {
--- /dev/null
+++ b/bbrshare/share.go
@@ -0,0 +1,109 @@
+// Package bbrshare lets instances ask each other for what they would otherwise ask
+// the store: proofs of primaries, their positions, and rows of the tables that they
+// follow. An answer is as good as one of the store, but older; ages are told as
+// durations, counted from the moment at which the answer is made, so that no two
+// clocks are compared: who asked at t knows that something of age a is not older
+// than t - a.
+//
+// # Usage
+//
+//	handler := bbrshare.Handler(source)
+//	c := bbrshare.NewClient(dial)
+//	k, err := c.Pull(ctx, "10.0.0.7:7440", versions)
+package bbrshare
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bluebellroute/bluebellroute/bbrlink"
+	"github.com/bluebellroute/bluebellroute/bbrmessage"
+	"github.com/bluebellroute/bluebellroute/bbrrows"
+	"github.com/bluebellroute/bluebellroute/bbrshare/sharepb"
+	"github.com/bluebellroute/bluebellroute/bbrtype"
+)
+
+// Versions are the versions of tables that an instance has.
+type Versions map[string]int64
+
+// Knowledge is what an instance knows.
+type Knowledge struct {
+	Groups []bbrlink.Shared
+	Rows   []bbrrows.Row
+}
+
+// Source tells what an instance knows: proofs, and rows newer than versions.
+type Source func(v Versions) Knowledge
+
+// Handler answers other instances.
+func Handler(s Source) http.Handler { return sharepb.NewShareServer(&server{source: s}) }
+
+type server struct{ source Source }
+
+// Pull implements the service.
+func (s *server) Pull(_ context.Context, r *sharepb.PullRequest) (*sharepb.Knowledge, error) {
+	v := Versions{}
+	for _, t := range r.Tables {
+		v[t.Table] = t.Version
+	}
+	return encode(s.source(v)), nil
+}
+
+// Client asks other instances.
+type Client struct{ http *http.Client }
+
+// NewClient returns a client that makes its connections by a transport.
+func NewClient(t http.RoundTripper) *Client { return &Client{http: &http.Client{Transport: t}} }
+
+// Pull asks an instance at an address.
+func (c *Client) Pull(ctx context.Context, address string, v Versions) (Knowledge, error) {
+	r := &sharepb.PullRequest{}
+	for table, version := range v {
+		r.Tables = append(r.Tables, &sharepb.TableVersion{Table: table, Version: version})
+	}
+	k, err := sharepb.NewShareProtobufClient("http://"+address, c.http).Pull(ctx, r)
+	if err != nil {
+		return Knowledge{}, errors.Wrapf(err, "ask the instance at %s", address)
+	}
+	return decode(k), nil
+}
+
+func encode(k Knowledge) *sharepb.Knowledge {
+	out := &sharepb.Knowledge{}
+	for _, g := range k.Groups {
+		out.Groups = append(out.Groups, &sharepb.GroupProof{
+			Group: string(g.Group), Primary: string(g.Primary), Term: uint64(g.Term),
+			ProvenAgoUs: g.ProvenAgo.Microseconds(),
+			PlaceTerm:   uint64(g.Place.Term), PlaceNumber: g.Place.Number, PlaceAgoUs: g.PlaceAgo.Microseconds(),
+			AckedTerm: uint64(g.Acked.Term), AckedNumber: g.Acked.Number,
+		})
+	}
+	for _, r := range k.Rows {
+		out.Rows = append(out.Rows, &sharepb.Row{Table: r.Table, Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted})
+	}
+	return out
+}
+
+func decode(k *sharepb.Knowledge) Knowledge {
+	var out Knowledge
+	for _, g := range k.Groups {
+		out.Groups = append(out.Groups, bbrlink.Shared{
+			Group: bbrtype.GroupName(g.Group), Primary: bbrtype.MemberName(g.Primary), Term: bbrtype.Term(g.Term),
+			// A part of a microsecond is counted as a whole one: ages are never
+			// told too low.
+			ProvenAgo: time.Duration(g.ProvenAgoUs+1) * time.Microsecond,
+			Place:     bbrmessage.Place{Term: bbrtype.Term(g.PlaceTerm), Number: g.PlaceNumber},
+			PlaceAgo:  time.Duration(g.PlaceAgoUs+1) * time.Microsecond,
+			Acked:     bbrmessage.Place{Term: bbrtype.Term(g.AckedTerm), Number: g.AckedNumber},
+		})
+	}
+	for _, r := range k.Rows {
+		out.Rows = append(out.Rows, bbrrows.Row{
+			RowName: bbrrows.RowName{Table: r.Table, Key: r.Key}, Value: r.Value, Version: r.Version, Deleted: r.Deleted,
+		})
+	}
+	return out
+}
