Let lost answers hold no place, and repeat what can be repeated

Ruled out: too few connections (the member worked on one statement on average). Change: an answer that takes longer than 350 ms and eight usual ones gives up its place; a read, or a statement before the commit, is then tried again or told as rolled back. Test: TestPatienceFollowsTheAnswers.

--- a/bbrlink/conn.go
+++ b/bbrlink/conn.go
@@ -20,6 +20,9 @@
 	values   map[string]string
 	prepared map[string]bbrmessage.Prepare
 	broken   bool
+	// detached is set while the connection holds no place at its member: the answer
+	// that it waits for counts as lost.
+	detached bool
 	idleFrom bbrtype.Mono
 }
 
@@ -92,6 +95,11 @@
 	sentAt := c.group.Clock.Now()
 	c.group.sent(c.member.ID, sentAt)
 	defer c.group.answered(c.member.ID, sentAt)
+	stuck := time.AfterFunc(c.group.Patience(c.member.ID), func() { c.group.detach(c) })
+	defer func() {
+		stuck.Stop()
+		c.group.attach(c)
+	}()
 	if err := c.wire.Send(deadline, append(prelude, g)...); err != nil {
 		c.broken = true
 		return bbrmessage.Reply{}, errors.Wrapf(err, "send to member %s", c.member.ID)
--- a/bbrlink/group.go
+++ b/bbrlink/group.go
@@ -366,6 +366,34 @@
 	g.board.Release(id, now)
 }
 
+// Patience returns how long an answer of a member may take before it counts as lost.
+func (g *Group) Patience(id bbrtype.MemberName) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.board.Patience(id)
+}
+
+// detach gives up a connection's place at its member: what it waits for has most
+// likely been done there, and others can be served meanwhile.
+func (g *Group) detach(c *Conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !c.detached {
+		c.detached = true
+		g.board.Release(c.member.ID, g.Clock.Now())
+	}
+}
+
+// attach takes the place again.
+func (g *Group) attach(c *Conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.detached {
+		c.detached = false
+		g.board.Occupy(c.member.ID)
+	}
+}
+
 // closeIdle closes the unused connections to a member.
 func (g *Group) closeIdle(id bbrtype.MemberName) {
 	for _, c := range g.idle[id] {
--- a/bbrplace/place.go
+++ b/bbrplace/place.go
@@ -46,6 +46,10 @@
 	// fullPause is how long the number of statements at a member stays bounded by
 	// the connections that it took, after it refused one.
 	fullPause = 1500 * time.Millisecond
+	// leastPatience and patienceFactor tell how long an answer may take before it
+	// counts as lost: a time, and a multiple of the usual one.
+	leastPatience  = 350 * time.Millisecond
+	patienceFactor = 8
 	// answerWeight is the weight of the newest answer in the moving average.
 	answerWeight = 0.15
 )
@@ -265,6 +269,16 @@
 	return cost
 }
 
+// Patience returns how long an answer of a member may take before it counts as
+// lost. A member that is slow, or where work waits, gets more.
+func (b *Board) Patience(id bbrtype.MemberName) time.Duration {
+	s := b.seats[id]
+	if s == nil {
+		return leastPatience
+	}
+	return max(leastPatience, patienceFactor*s.answer)
+}
+
 // Answered notes an answer: how long it took, and the position it showed.
 func (b *Board) Answered(id bbrtype.MemberName, took time.Duration, applied bbrmessage.Place) {
 	s := b.seats[id]
--- a/bbrplace/place_test.go
+++ b/bbrplace/place_test.go
@@ -94,6 +94,18 @@
 	is.Equal(ask(b, Want{Floor: place(9), Avoid: []bbrtype.MemberName{"r2"}}, now), bbrtype.MemberName("p"))
 }
 
+func TestPatienceFollowsTheAnswers(t *testing.T) {
+	is := is.New(t)
+	b := threeMembers()
+	is.Equal(b.Patience("p"), leastPatience)
+	is.Equal(b.Patience("unknown"), leastPatience)
+	for range 100 {
+		b.Answered("p", 200*time.Millisecond, place(1))
+	}
+	is.True(b.Patience("p") > 4*leastPatience)
+	is.Equal(b.Patience("r1"), leastPatience)
+}
+
 // TestBoard checks that limits hold, that nobody waits while there is room, and
 // that priorities go first, whatever happens.
 func TestBoard(t *testing.T) {
--- a/bbrsession/statement.go
+++ b/bbrsession/statement.go
@@ -43,6 +43,8 @@
 	// statement, or of its transaction's begin.
 	since bbrtype.Mono
 	avoid []bbrtype.MemberName
+	// tries is the number of times that the statement was sent.
+	tries int
 	// under is the primary in use when the statement was sent.
 	under bbrlink.Primary
 }
@@ -53,6 +55,14 @@
 	return time.Now().Add(a.left())
 }
 
+// limit returns until when a member has to answer what can be tried again. The
+// time grows with each try.
+func (a *attempt) limit(id bbrtype.MemberName) time.Time {
+	a.tries++
+	patience := time.Duration(a.tries) * a.group.Patience(id)
+	return time.Now().Add(min(patience, a.left()))
+}
+
 // left returns the time that is left.
 func (a *attempt) left() time.Duration { return a.deadline.Sub(a.x.server.Clock.Now()) }
 
@@ -232,10 +242,7 @@
 func (a *attempt) tryRead(ctx context.Context, conn *bbrlink.Conn, want bbrplace.Want) (bbrmessage.Reply, bool) {
 	x, id := a.x, conn.Member().ID
 	text, name := x.text(a.st, conn.Texts())
-	limit := a.until()
-	if half := time.Now().Add(a.route.Timeout / 2); len(a.avoid) == 0 && !want.PrimaryOnly && half.Before(limit) {
-		limit = half
-	}
+	limit := a.limit(id)
 	sentAt := x.server.Clock.Now()
 	reply, err := conn.Run(limit, conn.Prelude(&x.held, name), bbrmessage.Guarded{ID: a.st.ID, Text: text, After: want.Floor})
 	if err != nil {
--- a/bbrsession/transaction.go
+++ b/bbrsession/transaction.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"time"
 
-	"github.com/bluebellroute/bluebellroute/bbrcatalog"
 	"github.com/bluebellroute/bluebellroute/bbrlink"
 	"github.com/bluebellroute/bluebellroute/bbrmessage"
 	"github.com/bluebellroute/bluebellroute/bbrplace"
@@ -44,13 +42,18 @@
 	conn := x.tx.conn
 	text, name := x.text(a.st, conn.Texts())
 	sentAt := x.server.Clock.Now()
-	reply, err := conn.Run(a.until(), conn.Prelude(&x.held, name), bbrmessage.Guarded{ID: a.st.ID, Text: text})
+	_, isCommit := a.st.Op.(bbrmessage.Commit)
+	limit := a.until()
+	if !isCommit {
+		// Nothing is kept before the commit, so that the caller may begin anew.
+		limit = a.limit(conn.Member().ID)
+	}
+	reply, err := conn.Run(limit, conn.Prelude(&x.held, name), bbrmessage.Guarded{ID: a.st.ID, Text: text})
 	if err != nil {
 		x.tx.conn = nil
 		a.lost(conn, sentAt, err)
 		return reply, false
 	}
-	_, isCommit := a.st.Op.(bbrmessage.Commit)
 	a.group.Note(conn, bbrlink.Evidence{SentAt: sentAt, Reply: reply, Commit: isCommit && x.tx.wrote})
 	return reply, true
 }
@@ -94,7 +97,7 @@
 	id := conn.Member().ID
 	sentAt := x.server.Clock.Now()
 	begin := bbrmessage.Guarded{ID: bbrmessage.OwnID, Text: conn.Texts().Begin(x.tx.readOnly), After: want.Floor}
-	reply, err := conn.Run(a.beginLimit(), conn.Prelude(&x.held, ""), begin)
+	reply, err := conn.Run(a.limit(id), conn.Prelude(&x.held, ""), begin)
 	if err != nil {
 		a.lost(conn, sentAt, err)
 		r, again := a.again(ctx, id, &bbrmessage.Failure{Class: bbrmessage.ClassAborted, Text: err.Error()})
@@ -114,15 +117,6 @@
 	return busy("the primary could not be shown to be the only one"), false
 }
 
-// beginLimit is until when the member has to begin the transaction.
-func (a *attempt) beginLimit() time.Time {
-	limit := a.until()
-	if half := time.Now().Add(a.route.Timeout / 2); a.route.Policy != bbrcatalog.PolicyPrimary && half.Before(limit) {
-		return half
-	}
-	return limit
-}
-
 // commit ends a transaction. Only what the member says is told as done.
 func (x *session) commit(ctx context.Context, st bbrmessage.Statement, arrived bbrtype.Mono) bbrmessage.Reply {
 	if failure := x.open(ctx, st, arrived); failure != nil {
