Put the instance together by named services, and log without blocking

Cause: the instance for the platform was put together by hand, and its log could block on a slow reader. Ruled out: sampling (each line tells a decision; only floods drop). Change: fx with named services; a bounded queue of lines, drops are counted and told; tests of settings and log.

--- a/bbrnode/node.go
+++ b/bbrnode/node.go
@@ -4,8 +4,7 @@
 //
 // # Usage
 //
-//	n := bbrnode.New(settings, ports, log)
-//	err := n.Run(ctx)
+//	err := bbrnode.Start(ctx, settings, ports, log, load, reload)
 package bbrnode
 
 import (
@@ -68,7 +67,7 @@
 type Node struct {
 	settings *Settings
 	ports    Ports
-	log      logrus.FieldLogger
+	log      *logrus.Logger
 	clock    *bbrtype.Clock
 	work     *errgroup.Group
 	catalog  bbrcatalog.Holder
@@ -97,11 +96,10 @@
 	received map[bbrtype.GroupName]received
 }
 
-// New returns an instance that does not run yet.
-func New(s *Settings, p Ports, log logrus.FieldLogger) *Node {
+// newNode returns an instance that does not run yet.
+func newNode(s *Settings, p Ports, log *logrus.Logger, clock *bbrtype.Clock, m *metrics) *Node {
 	n := &Node{
-		settings: s, ports: p, log: log, clock: bbrtype.NewClock(), work: &errgroup.Group{},
-		metrics:  newMetrics(),
+		settings: s, ports: p, log: log, clock: clock, work: &errgroup.Group{}, metrics: m,
 		records:  map[bbrtype.GroupName]bbrsuccession.Known{},
 		groups:   map[bbrtype.GroupName]*bbrlink.Group{},
 		loaded:   map[string]bool{},
--- a/bbrnode/run.go
+++ b/bbrnode/run.go
@@ -25,12 +25,12 @@
 	acceptPause = 20 * time.Millisecond
 )
 
-// Run serves until ctx ends, and then until the sessions have ended or the grace
+// run serves until ctx ends, and then until the sessions have ended or the grace
 // is over.
 //
 // At each value of reload the settings are loaded again. Addresses and the name
 // stay as they are for the life of the process; the log's level is put in force.
-func (n *Node) Run(ctx context.Context, load func() (*Settings, error), reload <-chan os.Signal) error {
+func (n *Node) run(ctx context.Context, load func() (*Settings, error), reload <-chan os.Signal) error {
 	n.log.WithFields(logrus.Fields{"name": n.settings.Name, "dataCentre": n.settings.DataCentre, "callers": n.settings.Callers}).Info("start")
 	callers, err := net.Listen("tcp", n.settings.Callers)
 	if err != nil {
@@ -67,9 +67,7 @@
 		n.log.WithError(err).Error("reload refused; the settings stay as they are")
 		return
 	}
-	if l, ok := n.log.(*logrus.Logger); ok {
-		l.SetLevel(s.LogLevel)
-	}
+	n.log.SetLevel(s.LogLevel)
 	n.log.WithField("level", s.LogLevel).Info("reload")
 }
 
--- a/cmd/bbrnode/main.go
+++ b/cmd/bbrnode/main.go
@@ -8,7 +8,6 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
 
 	"github.com/bluebellroute/bluebellroute/bbrnode"
@@ -46,10 +45,8 @@
 	if err != nil || cmd.Bool("check") {
 		return err
 	}
-	log := logrus.New()
-	log.SetOutput(os.Stdout)
-	log.SetLevel(s.LogLevel)
-	log.SetFormatter(&logrus.JSONFormatter{})
-	n := bbrnode.New(s, platform.Ports(s.Store, s.Promoter, s.Name), log)
-	return n.Run(ctx, func() (*bbrnode.Settings, error) { return bbrnode.LoadSettings(file) }, reload)
+	log := bbrnode.NewLog(os.Stdout, s.LogLevel)
+	defer bbrnode.Flush(log)
+	load := func() (*bbrnode.Settings, error) { return bbrnode.LoadSettings(file) }
+	return bbrnode.Start(ctx, s, platform.Ports(s.Store, s.Promoter, s.Name), log, load, reload)
 }
