Count members that came while others were asked, and not slow commits

Ruled out: the departed time (3.5 s of 12 had passed), the hold of the other replica. Change: who may be at work is taken before and after the question; commits count as unconfirmed only if the primary is ahead of all replicas; a change needs a successor that has all acknowledged commits; the log tells why a change begins. Also: an open connection saves its opening, three instances are asked before the store, and questions for changes follow the bounds.

--- a/bbrlink/evidence.go
+++ b/bbrlink/evidence.go
@@ -181,7 +181,10 @@
 
 // sharedAge is how old the proof of another instance may be to save a question to
 // the store.
-const sharedAge = 600 * time.Millisecond
+const sharedAge = 800 * time.Millisecond
+
+// sharedTries is how many instances are asked before the store.
+const sharedTries = 3
 
 // positionFresh is how long a position that traffic told saves a look.
 const positionFresh = 500 * time.Millisecond
@@ -220,8 +223,10 @@
 	if p.Member == "" {
 		return
 	}
-	if g.Ask(ctx) == nil && g.IsProven(sharedAge) {
-		return
+	for range sharedTries {
+		if g.Ask(ctx) == nil && g.IsProven(sharedAge) {
+			return
+		}
 	}
 	vouched := make(chan error, 1)
 	g.Group.Go(func() error {
@@ -317,7 +322,7 @@
 		g.SetPrimary(newer)
 		return
 	}
-	if len(g.Departed()) == 0 && showsNoChange(all, p) {
+	if len(g.MayBeAtWork()) == len(all) && showsNoChange(all, p) {
 		g.mu.Lock()
 		g.take(proofByMembers, p.Term, sentAt)
 		g.mu.Unlock()
--- a/bbrlink/group.go
+++ b/bbrlink/group.go
@@ -12,7 +12,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -47,6 +46,9 @@
 	spareParts = 2
 	// idleLimit is how long a connection beyond the first may stay unused.
 	idleLimit = 2 * time.Second
+	// scarceIdleLimit is how long any connection may stay unused where members do
+	// not take one of each instance.
+	scarceIdleLimit = 500 * time.Millisecond
 )
 
 // Dialer opens a connection to a member, which must be the one expected.
@@ -220,12 +222,19 @@
 	return out
 }
 
-// Departed returns the members that may still be at work although they are no
-// longer known.
-func (g *Group) Departed() []bbrdirectory.Member {
+// MayBeAtWork returns all members known, and those that may still be at work
+// although they are no longer known.
+func (g *Group) MayBeAtWork() []bbrtype.MemberName {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return slices.Clone(g.departed)
+	out := make([]bbrtype.MemberName, 0, len(g.members)+len(g.departed))
+	for id := range g.members {
+		out = append(out, id)
+	}
+	for _, m := range g.departed {
+		out = append(out, m.ID)
+	}
+	return out
 }
 
 // Service returns the group's settings.
@@ -309,6 +318,7 @@
 	}
 	g.mu.Lock()
 	g.open[m.ID]++
+	g.board.SetOpen(m.ID, g.open[m.ID])
 	g.mu.Unlock()
 	return &Conn{group: g, member: m, wire: wire}, nil
 }
@@ -405,19 +415,26 @@
 // hangUp closes a connection. The caller holds mu.
 func (g *Group) hangUp(c *Conn) {
 	_ = c.wire.Close()
-	if g.open[c.member.ID]--; g.open[c.member.ID] <= 0 {
-		delete(g.open, c.member.ID)
+	id := c.member.ID
+	g.open[id]--
+	g.board.SetOpen(id, g.open[id])
+	if g.open[id] <= 0 {
+		delete(g.open, id)
 	}
 }
 
 // Trim closes connections that nobody has used for a while, down to one for
-// each member.
+// each member, or to none where connections are scarce.
 func (g *Group) Trim() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Clock.Now()
+	keep, limit := 1, idleLimit
+	if g.service.MaxConnections/spareParts < g.Instances() {
+		keep, limit = 0, scarceIdleLimit
+	}
 	for id, list := range g.idle {
-		for len(list) > 1 && now.Sub(list[0].idleFrom) > idleLimit {
+		for len(list) > keep && now.Sub(list[0].idleFrom) > limit {
 			g.hangUp(list[0])
 			list = list[1:]
 		}
--- a/bbrnode/change.go
+++ b/bbrnode/change.go
@@ -45,7 +45,7 @@
 }
 
 // change replaces the primary of a group, if no other instance does.
-func (n *Node) change(ctx context.Context, g *bbrlink.Group, old bbrlink.Primary) {
+func (n *Node) change(ctx context.Context, g *bbrlink.Group, old bbrlink.Primary, why string) {
 	if !n.enter(g.Name()) {
 		return
 	}
@@ -56,7 +56,7 @@
 	}
 	c := &change{
 		node: n, group: g, old: old, known: known, began: n.clock.Now(),
-		log: n.log.WithFields(logrus.Fields{"group": g.Name(), "old": old.Member, "oldTerm": old.Term}),
+		log: n.log.WithFields(logrus.Fields{"group": g.Name(), "old": old.Member, "oldTerm": old.Term, "why": why}),
 	}
 	if err := c.run(ctx); err != nil {
 		c.log.WithError(err).Warn("change of primary given up")
@@ -197,6 +197,7 @@
 
 // hold asks every replica to hold replication and returns what they told.
 func (c *change) hold(ctx context.Context, stepDown bool) []bbrsuccession.Candidate {
+	before := c.group.MayBeAtWork()
 	out := c.node.ask(ctx, c.group, c.old.Member, func(ctx context.Context, id bbrtype.MemberName) (bbrmessage.Look, error) {
 		switch {
 		case id != c.old.Member:
@@ -206,10 +207,7 @@
 		}
 		return c.group.LookAt(ctx, id)
 	})
-	for _, m := range c.group.Departed() {
-		out = append(out, bbrsuccession.Candidate{ID: m.ID})
-	}
-	return out
+	return bbrsuccession.Complete(out, append(before, c.group.MayBeAtWork()...)...)
 }
 
 // promote orders the promotion until the member leads.
--- a/bbrnode/keeper.go
+++ b/bbrnode/keeper.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/bluebellroute/bluebellroute/bbrlink"
 	"github.com/bluebellroute/bluebellroute/bbrmessage"
 	"github.com/bluebellroute/bluebellroute/bbrproof"
@@ -19,7 +17,7 @@
 	// countSoon is when the instances are counted for the second time: many may
 	// have started at once. The time doubles up to countEvery.
 	countSoon  = 500 * time.Millisecond
-	countEvery = 12 * time.Second
+	countEvery = 20 * time.Second
 	// sampleBefore is the age of the newest sample of the primary's position at
 	// which another one is taken.
 	sampleBefore = 1100 * time.Millisecond
@@ -67,8 +65,8 @@
 		n.aside(func() { n.examine(ctx, g, p) })
 	case n.isSilent(g, p.Member):
 		n.aside(func() { _, _ = g.LookAt(ctx, p.Member) })
-	case n.isDue(g, p):
-		n.aside(func() { n.change(ctx, g, p) })
+	case n.mayBeDue(g, p):
+		n.aside(func() { n.examine(ctx, g, p) })
 	case n.clock.Now().Sub(g.Newest()) > sampleBefore:
 		n.aside(func() { g.Prove(ctx) })
 	default:
@@ -122,6 +120,7 @@
 // examine looks at members while the primary does not answer or does not confirm
 // commits, and changes it if that is due.
 func (n *Node) examine(ctx context.Context, g *bbrlink.Group, p bbrlink.Primary) {
+	acked := g.Acked()
 	members := n.looks(ctx, g)
 	n.noteReceived(g.Name(), p, members)
 	for _, c := range members {
@@ -130,11 +129,24 @@
 			return
 		}
 	}
-	if g.Primary() == p && n.isDue(g, p) {
-		n.change(ctx, g, p)
+	s := n.situation(g, p)
+	s.Successor = bbrsuccession.HasSuccessor(members, p.Member, acked)
+	s.Ahead = bbrsuccession.IsAhead(members, p.Member)
+	why, due := bbrsuccession.Due(s, n.clock.Now())
+	if due && g.Primary() == p {
+		n.change(ctx, g, p, why)
 	}
 }
 
+// mayBeDue reports whether the primary is to be replaced, should a successor
+// answer.
+func (n *Node) mayBeDue(g *bbrlink.Group, p bbrlink.Primary) bool {
+	s := n.situation(g, p)
+	s.Successor, s.Ahead = true, true
+	_, due := bbrsuccession.Due(s, n.clock.Now())
+	return due
+}
+
 // received is the newest position of a primary that a replica was seen to have.
 type received struct {
 	primary bbrlink.Primary
@@ -175,8 +187,8 @@
 	return 0
 }
 
-// isDue reports whether the primary is to be replaced.
-func (n *Node) isDue(g *bbrlink.Group, p bbrlink.Primary) bool {
+// situation tells what is known of a primary without a look at its members.
+func (n *Node) situation(g *bbrlink.Group, p bbrlink.Primary) bbrsuccession.Situation {
 	s := bbrsuccession.Situation{
 		FailingSince: g.Failing(p.Member), DemotedSince: g.Demoted(),
 		StalledSince: g.Stalled(), ReceivedAt: n.receivedAt(g.Name(), p),
@@ -187,11 +199,7 @@
 			s.Gone, s.Draining = false, m.Draining
 		}
 	}
-	why, due := bbrsuccession.Due(s, n.clock.Now())
-	if due {
-		n.log.WithFields(logrus.Fields{"group": g.Name(), "primary": p.Member, "term": p.Term, "why": why}).Debug("a change of primary is due")
-	}
-	return due
+	return s
 }
 
 func (n *Node) isLost(name string) bool {
--- a/bbrnode/node.go
+++ b/bbrnode/node.go
@@ -139,8 +139,8 @@
 // tables are the tables that an instance follows.
 func (n *Node) tables() []table {
 	return []table{
-		{name: n.ports.ConfigTable, wait: configWait},
-		{name: n.ports.MemberTable, wait: memberWait},
+		{name: n.ports.ConfigTable, wait: max(time.Second, n.settings.ConfigBound-boundMargin)},
+		{name: n.ports.MemberTable, wait: max(time.Second, n.settings.DrainBound/2)},
 		{name: groupTable, wait: recordWait},
 	}
 }
--- a/bbrnode/settings.go
+++ b/bbrnode/settings.go
@@ -24,6 +24,9 @@
 	Seeds []string
 	// Store and Promoter are the addresses of the platform's services.
 	Store, Promoter string
+	// ConfigBound is the time within which a configuration has to be in force,
+	// DrainBound the one after which a member that leaves may get no work.
+	ConfigBound, DrainBound time.Duration
 	// Grace is the time from the order to stop to the end of the process.
 	Grace    time.Duration
 	LogLevel logrus.Level
@@ -73,6 +76,10 @@
 	s.Store = r.Address("store", "")
 	s.Promoter = r.Address("promoter", "")
 	r.Finish()
+	r = bbrini.NewReader(file, f.Section("bounds"), &problems)
+	s.ConfigBound = r.Duration("configuration", 3*time.Second)
+	s.DrainBound = r.Duration("drain", 7*time.Second)
+	r.Finish()
 	r = bbrini.NewReader(file, f.Section("log"), &problems)
 	level := bbrini.Choice(r, "level", "info", "debug", "info", "warn", "error")
 	r.Finish()
--- a/bbrnode/watch.go
+++ b/bbrnode/watch.go
@@ -14,10 +14,10 @@
 	storePause = 200 * time.Millisecond
 	// storePauseMost bounds the pause as failures go on.
 	storePauseMost = time.Second
-	// configWait, memberWait and recordWait bound questions for changes. The record
-	// of a group is also read with each proof.
-	configWait = 2500 * time.Millisecond
-	memberWait = 4 * time.Second
+	// boundMargin is taken off the bound of a configuration, for the answer itself.
+	boundMargin = 500 * time.Millisecond
+	// recordWait bounds questions for changes of the groups' records, which are
+	// read with each proof as well.
 	recordWait = 12 * time.Second
 )
 
--- a/bbrplace/place.go
+++ b/bbrplace/place.go
@@ -31,6 +31,8 @@
 	// otherDataCentre is what an answer from another data centre is taken to
 	// cost beyond its time: bytes between data centres are dear.
 	otherDataCentre = 4 * time.Millisecond
+	// opening is what it costs to open a connection: the member spends a place on it.
+	opening = 14 * time.Millisecond
 	// primaryFactor raises the expected wait at the primary for work that
 	// replicas can do.
 	primaryFactor = 1.6
@@ -69,7 +71,9 @@
 // seat is a member with what its answers told.
 type seat struct {
 	Member
-	inUse   int
+	inUse int
+	// open is the number of connections, used or not.
+	open    int
 	answer  time.Duration
 	applied bbrmessage.Place
 	// refused is the least position that it lacked at refusedAt.
@@ -266,9 +270,19 @@
 	if !s.Near {
 		cost += otherDataCentre
 	}
+	if s.open <= s.inUse {
+		cost += opening
+	}
 	return cost
 }
 
+// SetOpen notes the number of connections to a member, used or not.
+func (b *Board) SetOpen(id bbrtype.MemberName, open int) {
+	if s := b.seats[id]; s != nil {
+		s.open = open
+	}
+}
+
 // Patience returns how long an answer of a member may take before it counts as
 // lost. A member that is slow, or where work waits, gets more.
 func (b *Board) Patience(id bbrtype.MemberName) time.Duration {
--- a/bbrplace/place_test.go
+++ b/bbrplace/place_test.go
@@ -41,9 +41,10 @@
 		want    Want
 		member  bbrtype.MemberName
 	}{
-		"a read goes to the replica nearby": {want: Want{}, member: "r1"},
-		"what only the primary can do":      {want: Want{PrimaryOnly: true}, member: "p"},
-		"the one nearby is busy":            {prepare: func(b *Board) { ask(b, Want{Only: "r1"}, start) }, member: "r2"},
+		"a connection that is open saves another": {prepare: func(b *Board) { b.SetOpen("r2", 1) }, member: "r2"},
+		"a read goes to the replica nearby":       {want: Want{}, member: "r1"},
+		"what only the primary can do":            {want: Want{PrimaryOnly: true}, member: "p"},
+		"the one nearby is busy":                  {prepare: func(b *Board) { ask(b, Want{Only: "r1"}, start) }, member: "r2"},
 		"a replica that lags is left out": {prepare: func(b *Board) {
 			b.Refused("r1", place(9), start)
 		}, want: Want{Floor: place(9)}, member: "r2"},
--- a/bbrsuccession/succession.go
+++ b/bbrsuccession/succession.go
@@ -158,6 +158,49 @@
 	Acked bbrmessage.Place
 }
 
+// Complete adds those that may be at work and were not asked, as members that did
+// not answer. Members come and go while others are asked.
+func Complete(asked []Candidate, atWork ...bbrtype.MemberName) []Candidate {
+	known := map[bbrtype.MemberName]bool{}
+	for _, m := range asked {
+		known[m.ID] = true
+	}
+	for _, id := range atWork {
+		if !known[id] {
+			known[id] = true
+			asked = append(asked, Candidate{ID: id})
+		}
+	}
+	return asked
+}
+
+// IsAhead reports whether a primary has a position that no other member that
+// answers has received.
+func IsAhead(members []Candidate, primary bbrtype.MemberName) bool {
+	var lead, best bbrmessage.Place
+	for _, m := range members {
+		switch {
+		case !m.Answered:
+		case m.ID == primary:
+			lead = m.Look.Received
+		default:
+			best = bbrmessage.Latest(best, m.Look.Received)
+		}
+	}
+	return best.IsBefore(lead)
+}
+
+// HasSuccessor reports whether a member other than the primary answers that has a
+// position.
+func HasSuccessor(members []Candidate, primary bbrtype.MemberName, acked bbrmessage.Place) bool {
+	for _, m := range members {
+		if m.ID != primary && m.Answered && !m.Look.Received.IsBefore(acked) {
+			return true
+		}
+	}
+	return false
+}
+
 // MayStepDown reports whether the old primary may be told to step down before all
 // replicas hold: a replica that holds has all that it has.
 func MayStepDown(q Question) bool {
@@ -273,6 +316,9 @@
 	// StalledSince is when the first commit was sent that the primary has not
 	// confirmed, 0 if it confirms them.
 	StalledSince bbrtype.Mono
+	// Ahead is set if the primary has what no replica has received. Without it
+	// commits are slow, not unconfirmed.
+	Ahead bool
 	// ReceivedAt is when a replica was last seen to have received from it since it
 	// fails.
 	ReceivedAt bbrtype.Mono
@@ -280,6 +326,9 @@
 	Draining bool
 	// Gone is set if the primary has no entry any more.
 	Gone bool
+	// Successor is set if another member answers that has all commits known to be
+	// acknowledged. Holding replication without one only delays those that lag.
+	Successor bool
 	// Informed is set if the instance has seen acknowledged commits of the primary.
 	Informed bool
 }
@@ -291,12 +340,14 @@
 		limit += uninformedPause
 	}
 	switch {
+	case !s.Successor:
+		return "", false
 	case s.Draining:
 		return "the primary is leaving", true
 	case s.ReceivedAt != 0 && now.Sub(s.ReceivedAt) < elsewhereTime:
 		// Others reach it, so only the way from here is cut.
 		return "", false
-	case s.StalledSince != 0 && now.Sub(s.StalledSince) > stallLimit:
+	case s.Ahead && s.StalledSince != 0 && now.Sub(s.StalledSince) > stallLimit:
 		return "commits are not confirmed", true
 	case s.FailingSince != 0 && now.Sub(s.FailingSince) > limit:
 		return "the primary does not answer", true
