Let one instance of a data centre ask the store for all

Cause: on the grown sites each instance asked the store for its own proofs; a random neighbour rarely had a fresh one. Ruled out: the questions for changes (a fifth). Change: the first instance by rank in a data centre is asked, and renews its proofs before it answers; one that does not answer is left out for 2 s.

--- a/bbrlink/evidence.go
+++ b/bbrlink/evidence.go
@@ -183,9 +183,6 @@
 // the store.
 const sharedAge = 800 * time.Millisecond
 
-// sharedTries is how many instances are asked before the store.
-const sharedTries = 3
-
 // positionFresh is how long a position that traffic told saves a look.
 const positionFresh = 500 * time.Millisecond
 
@@ -214,8 +211,8 @@
 	close(done)
 }
 
-// prove asks another instance. If that does not suffice, it asks the store whether
-// a change has begun, and the primary for its position. If the store does not answer, the members are asked.
+// prove asks another instance for a proof, else the store whether a change has
+// begun, else all members. It looks at the primary if its position is not known.
 func (g *Group) prove(ctx context.Context, p Primary, wait time.Duration) {
 	if wait > 0 {
 		pause(ctx, wait)
@@ -223,22 +220,22 @@
 	if p.Member == "" {
 		return
 	}
-	for range sharedTries {
-		if g.Ask(ctx) == nil && g.IsProven(sharedAge) {
-			return
-		}
+	// Without an answer the store is asked.
+	_ = g.Ask(ctx)
+	if !g.provenWithin(sharedAge) && g.Vouch(ctx) != nil {
+		g.proveByMembers(ctx, p)
 	}
-	vouched := make(chan error, 1)
-	g.Group.Go(func() error {
-		vouched <- g.Vouch(ctx)
-		return nil
-	})
 	if !g.hasPosition() {
 		g.samplePosition(ctx, p)
 	}
-	if <-vouched != nil {
-		g.proveByMembers(ctx, p)
-	}
+}
+
+// provenWithin reports whether the primary is proven by something not older than a
+// time.
+func (g *Group) provenWithin(age time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.proof.ProvenAt() >= g.Clock.Now().Add(-age)
 }
 
 // hasPosition reports whether traffic has told the primary's position lately, so
--- a/bbrlink/shared.go
+++ b/bbrlink/shared.go
@@ -50,12 +50,3 @@
 		g.proof.Observe(s.Place, askedAt.Add(-s.PlaceAgo))
 	}
 }
-
-// IsProven reports whether the primary is proven and its position known, both not
-// older than a time.
-func (g *Group) IsProven(age time.Duration) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	since := g.Clock.Now().Add(-age)
-	return g.proof.ProvenAt() >= since && g.proof.Newest() >= since
-}
--- a/bbrnode/node.go
+++ b/bbrnode/node.go
@@ -82,6 +82,8 @@
 	records   map[bbrtype.GroupName]bbrsuccession.Known
 	groups    map[bbrtype.GroupName]*bbrlink.Group
 	instances int
+	// avoided are instances that did not answer, until when.
+	avoided map[string]bbrtype.Mono
 	// peers are the other instances.
 	peers  []instanceEntry
 	mirror bbrrows.Mirror
@@ -104,6 +106,7 @@
 		groups:   map[bbrtype.GroupName]*bbrlink.Group{},
 		loaded:   map[string]bool{},
 		lost:     map[string]bool{},
+		avoided:  map[string]bbrtype.Mono{},
 		others:   bbrshare.NewClient(p.Transport),
 		badSeen:  map[string]int64{},
 		changing: map[bbrtype.GroupName]bool{},
--- a/bbrshare/share.go
+++ b/bbrshare/share.go
@@ -9,7 +9,7 @@
 //
 //	handler := bbrshare.Handler(source)
 //	c := bbrshare.NewClient(dial)
-//	k, err := c.Pull(ctx, "10.0.0.7:7440", versions)
+//	k, err := c.Pull(ctx, "10.0.0.7:7440", bbrshare.Question{Versions: versions})
 package bbrshare
 
 import (
@@ -35,8 +35,16 @@
 	Rows   []bbrrows.Row
 }
 
+// Question is what an instance asks another one.
+type Question struct {
+	// Versions are the versions of the tables whose rows are wanted.
+	Versions Versions
+	// RenewOlder asks to renew proofs that are older, 0 not to.
+	RenewOlder time.Duration
+}
+
 // Source tells what an instance knows: proofs, and rows newer than versions.
-type Source func(v Versions) Knowledge
+type Source func(ctx context.Context, q Question) Knowledge
 
 // Handler answers other instances.
 func Handler(s Source) http.Handler { return sharepb.NewShareServer(&server{source: s}) }
@@ -44,12 +52,12 @@
 type server struct{ source Source }
 
 // Pull implements the service.
-func (s *server) Pull(_ context.Context, r *sharepb.PullRequest) (*sharepb.Knowledge, error) {
-	v := Versions{}
+func (s *server) Pull(ctx context.Context, r *sharepb.PullRequest) (*sharepb.Knowledge, error) {
+	q := Question{Versions: Versions{}, RenewOlder: time.Duration(r.RenewOlderUs) * time.Microsecond}
 	for _, t := range r.Tables {
-		v[t.Table] = t.Version
+		q.Versions[t.Table] = t.Version
 	}
-	return encode(s.source(v)), nil
+	return encode(s.source(ctx, q)), nil
 }
 
 // Client asks other instances.
@@ -59,9 +67,9 @@
 func NewClient(t http.RoundTripper) *Client { return &Client{http: &http.Client{Transport: t}} }
 
 // Pull asks an instance at an address.
-func (c *Client) Pull(ctx context.Context, address string, v Versions) (Knowledge, error) {
-	r := &sharepb.PullRequest{}
-	for table, version := range v {
+func (c *Client) Pull(ctx context.Context, address string, q Question) (Knowledge, error) {
+	r := &sharepb.PullRequest{RenewOlderUs: q.RenewOlder.Microseconds()}
+	for table, version := range q.Versions {
 		r.Tables = append(r.Tables, &sharepb.TableVersion{Table: table, Version: version})
 	}
 	k, err := sharepb.NewShareProtobufClient("http://"+address, c.http).Pull(ctx, r)
