Leave a member that took no connection out for longer

Cause: where members take fewer connections than there are instances, those without one asked again each 30 ms, and each refused connection costs the member a place. Ruled out: the placement of reads (open connections are preferred). Change: 120 ms.

--- a/bbrplace/place.go
+++ b/bbrplace/place.go
@@ -41,6 +41,9 @@
 	laggingPause = 100 * time.Millisecond
 	// laggingDoublings bounds the growth of the pause.
 	laggingDoublings = 3
+	// noConnectionPause is how long a member that took no connection at all is left
+	// out.
+	noConnectionPause = 120 * time.Millisecond
 	// busyPause is how long a member that turned work away is left out.
 	busyPause = 30 * time.Millisecond
 	// suspectPause is how long a member that did not answer is left out.
@@ -329,8 +332,8 @@
 	s.ceiling, s.ceilingTo = open, now.Add(fullPause)
 	if open == 0 {
 		// Nothing would tell when there is room again.
-		s.ceiling, s.ceilingTo = 1, now.Add(busyPause)
-		s.pausedTo = now.Add(busyPause)
+		s.ceiling, s.ceilingTo = 1, now.Add(noConnectionPause)
+		s.pausedTo = now.Add(noConnectionPause)
 	}
 }
 
