--- a/bbrmessage/message.go
+++ b/bbrmessage/message.go
@@ -240,7 +240,7 @@
 	Close() error
 }
 
-// Guarded is a statement for a member, to be run only by a log that has AfterPlace.
+// Guarded is a statement for a member, to be run only if its log has After.
 type Guarded struct {
 	ID    RequestID
 	Text  string
--- a/bbrplace/place.go
+++ b/bbrplace/place.go
@@ -93,8 +93,6 @@
 type Want struct {
 	// PrimaryOnly is set for what only the primary can do.
 	PrimaryOnly bool
-	// NoPrimary is set while the primary's data can't be shown to be fresh.
-	NoPrimary bool
 	// Floor is the least log position of a replica.
 	Floor bbrmessage.Place
 	// Avoid are members that were tried already.
@@ -139,9 +137,6 @@
 // Forget drops a member.
 func (b *Board) Forget(id bbrtype.MemberName) { delete(b.seats, id) }
 
-// Has reports whether a member is known.
-func (b *Board) Has(id bbrtype.MemberName) bool { return b.seats[id] != nil }
-
 // Waiting returns the number of statements that wait.
 func (b *Board) Waiting() int { return len(b.waiting) }
 
@@ -240,7 +235,7 @@
 		return false
 	}
 	if s.Primary {
-		return !w.NoPrimary
+		return true
 	}
 	return !s.Leaving && s.isFresh(w.Floor, now)
 }
@@ -344,17 +339,6 @@
 	}
 }
 
-// MayServe reports whether any member may serve a statement, now or when it has
-// room.
-func (b *Board) MayServe(w *Want, now bbrtype.Mono) bool {
-	for _, s := range b.seats {
-		if s.canServe(w, now) {
-			return true
-		}
-	}
-	return false
-}
-
 // Occupy enters a statement at a member beyond its limit, for looks that can't
 // wait.
 func (b *Board) Occupy(id bbrtype.MemberName) {
--- a/bbrproof/proof.go
+++ b/bbrproof/proof.go
@@ -58,9 +58,6 @@
 // Reset forgets everything, for a new primary of a term that comes into use.
 func (a *Authority) Reset(term bbrtype.Term, now bbrtype.Mono) { *a = Authority{term: term, from: now} }
 
-// Term returns the term that the proofs are about.
-func (a *Authority) Term() bbrtype.Term { return a.term }
-
 // Prove notes that no change had reached its barrier when a request was sent.
 func (a *Authority) Prove(term bbrtype.Term, sentAt bbrtype.Mono) {
 	if term != a.term || sentAt <= a.provenAt {
--- a/bbrsession/server.go
+++ b/bbrsession/server.go
@@ -113,7 +113,7 @@
 		s.mu.Lock()
 		delete(s.sessions, x)
 		s.mu.Unlock()
-		x.abandon(ctx)
+		x.abandon()
 	}()
 	return x.run(ctx)
 }
--- a/bbrsession/session.go
+++ b/bbrsession/session.go
@@ -53,7 +53,7 @@
 		x.limitIdle()
 		req, err := x.wire.Receive()
 		if isTimeout(err) {
-			x.onTimeout(ctx)
+			x.onTimeout()
 			continue
 		}
 		reply, last := x.answer(ctx, req, err)
@@ -81,7 +81,7 @@
 }
 
 // onTimeout ends a transaction that was idle too long, or that a stop ends.
-func (x *session) onTimeout(ctx context.Context) {
+func (x *session) onTimeout() {
 	if x.tx == nil || !x.wire.IsIdle() {
 		return
 	}
@@ -89,7 +89,7 @@
 		return
 	}
 	x.server.Log.WithFields(logrus.Fields{"route": x.tx.route.Name, "stopping": x.server.closing.Load()}).Info("idle transaction rolled back")
-	x.rollback(ctx)
+	x.rollback()
 	x.tx.failed = true
 }
 
@@ -150,7 +150,7 @@
 		if x.tx == nil {
 			return x.fail(malformed("no transaction is open"))
 		}
-		x.rollback(ctx)
+		x.rollback()
 		x.tx = nil
 		return x.done()
 	case bbrmessage.Commit:
@@ -257,7 +257,7 @@
 }
 
 // rollback ends the transaction at its member and gives the connection back.
-func (x *session) rollback(ctx context.Context) {
+func (x *session) rollback() {
 	tx := x.tx
 	if tx == nil || tx.conn == nil {
 		return
@@ -269,11 +269,10 @@
 		conn.Break()
 	}
 	tx.group.Release(conn)
-	_ = ctx
 }
 
 // abandon ends what a caller that left had open.
-func (x *session) abandon(ctx context.Context) {
-	x.rollback(ctx)
+func (x *session) abandon() {
+	x.rollback()
 	x.tx = nil
 }
--- a/bbrsession/statement.go
+++ b/bbrsession/statement.go
@@ -49,8 +49,7 @@
 	under bbrlink.Primary
 }
 
-// until returns the moment of the wall clock's runtime timers that stands for d
-// before the deadline.
+// until returns the deadline as connections take it.
 func (a *attempt) until() time.Time {
 	return time.Now().Add(a.left())
 }
--- a/bbrsession/transaction.go
+++ b/bbrsession/transaction.go
@@ -12,7 +12,7 @@
 // inTransaction serves a statement of an open transaction.
 func (x *session) inTransaction(ctx context.Context, st bbrmessage.Statement, access bbrmessage.Access, arrived bbrtype.Mono) bbrmessage.Reply {
 	if access == bbrmessage.AccessWrite && x.tx.readOnly {
-		return x.failTransactionAtMember(ctx, malformed("the transaction only reads"))
+		return x.failTransactionAtMember(malformed("the transaction only reads"))
 	}
 	if failure := x.open(ctx, st, arrived); failure != nil {
 		return x.failTransaction(failure)
@@ -25,14 +25,14 @@
 		return x.failTransaction(&bbrmessage.Failure{Class: bbrmessage.ClassAborted, Text: "the connection to the member was lost; the transaction is rolled back"})
 	}
 	if reply.Failure != nil {
-		return x.failTransactionAtMember(ctx, reply.Failure)
+		return x.failTransactionAtMember(reply.Failure)
 	}
 	return bbrmessage.Reply{Rows: reply.Rows, Proof: reply.Proof, State: x.state()}
 }
 
 // failTransactionAtMember rolls the transaction back and says why.
-func (x *session) failTransactionAtMember(ctx context.Context, f *bbrmessage.Failure) bbrmessage.Reply {
-	x.rollback(ctx)
+func (x *session) failTransactionAtMember(f *bbrmessage.Failure) bbrmessage.Reply {
+	x.rollback()
 	return x.failTransaction(f)
 }
 
@@ -113,7 +113,7 @@
 	if !want.PrimaryOnly || a.isProven(ctx, id) {
 		return nil, false
 	}
-	x.rollback(ctx)
+	x.rollback()
 	return busy("the primary could not be shown to be the only one"), false
 }
 
