Go on with a primary that comes back under another name

A crashed primary came back with its log and its term under a new id; nobody adopted it, since its term was not newer, and changes went on holding replicas without end. Ruled out: frozen holders (a change waited 3 s for them, as it should). Change: a member that leads the same term under another id is adopted; the old primary goes on if it answers before the barrier; a record proves a term, not a name. Tests: TestChoose, TestProves, TestNewerPrimary.

--- a/bbrlink/prove.go
+++ b/bbrlink/prove.go
@@ -148,7 +148,7 @@
 	for range members {
 		all = append(all, <-results)
 	}
-	if newer, ok := newerPrimary(all, p.Term); ok {
+	if newer, ok := newerPrimary(all, p); ok {
 		// Older proofs of other instances have to run out first.
 		newer.UsableFrom = g.Clock.Now().Add(bbrproof.Lease)
 		g.SetPrimary(newer)
@@ -168,15 +168,19 @@
 	Err    error
 }
 
-// newerPrimary returns the member that leads the newest term after a term.
-func newerPrimary(all []LookResult, term bbrtype.Term) (Primary, bool) {
-	best := Primary{Term: term}
+// newerPrimary returns the member that leads the newest term, if it is not the
+// primary in use: that of a newer term, or the same one under another name.
+func newerPrimary(all []LookResult, p Primary) (Primary, bool) {
+	best := p
 	for _, r := range all {
-		if r.Err == nil && r.Look.Role == bbrmessage.RolePrimary && r.Look.Term > best.Term {
+		if r.Err != nil || r.Look.Role != bbrmessage.RolePrimary || r.Member == p.Member {
+			continue
+		}
+		if r.Look.Term > best.Term || r.Look.Term == p.Term && best == p {
 			best = Primary{Member: r.Member, Term: r.Look.Term}
 		}
 	}
-	return best, best.Member != ""
+	return best, best != p
 }
 
 // showsNoChange reports whether looks at all members show that the primary still
--- a/bbrnode/change.go
+++ b/bbrnode/change.go
@@ -39,6 +39,8 @@
 	known bbrsuccession.Known
 	term  bbrtype.Term
 	began bbrtype.Mono
+	// welcome is set if the old primary may go on, should it answer again.
+	welcome bool
 	// claimed is when the claim was last written.
 	claimed bbrtype.Mono
 	log     logrus.FieldLogger
@@ -55,7 +57,7 @@
 		return
 	}
 	c := &change{
-		node: n, group: g, old: old, known: known, began: n.clock.Now(),
+		node: n, group: g, old: old, known: known, began: n.clock.Now(), welcome: g.Failing(old.Member) != 0,
 		log: n.log.WithFields(logrus.Fields{"group": g.Name(), "old": old.Member, "oldTerm": old.Term, "why": why}),
 	}
 	if err := c.run(ctx); err != nil {
@@ -92,7 +94,7 @@
 		c.giveUp(ctx)
 		return err
 	}
-	if choice.Member != c.old.Member {
+	if choice.Term > c.old.Term && choice.Member != c.old.Member {
 		// From here on nothing that the old primary does may count.
 		c.node.aside(func() { _, _ = c.group.StepDown(ctx, c.old.Member, c.term) })
 	}
@@ -179,7 +181,7 @@
 	for c.inTime(ctx) {
 		looks := c.hold(ctx, stepDown)
 		question := bbrsuccession.Question{
-			Members: looks, Old: c.old.Member, Term: c.term,
+			Members: looks, Old: c.old.Member, OldTerm: c.old.Term, Term: c.term, Welcome: c.welcome,
 			Sync: c.group.Service().SyncReplicas, Acked: c.group.Acked(),
 		}
 		choice := bbrsuccession.Choose(question)
@@ -258,7 +260,7 @@
 		if id == choice.Member {
 			return bbrmessage.Look{}, nil
 		}
-		if id == c.old.Member {
+		if id == c.old.Member && choice.Term > c.old.Term {
 			return c.group.StepDown(ctx, id, choice.Term)
 		}
 		return c.group.Resume(ctx, id)
--- a/bbrnode/keeper.go
+++ b/bbrnode/keeper.go
@@ -99,11 +99,12 @@
 			best = c
 		}
 	}
-	if best.ID == "" || best.Look.Term <= g.Primary().Term {
+	now := g.Primary()
+	if best.ID == "" || best.ID == now.Member || best.Look.Term < now.Term {
 		return
 	}
 	p := bbrlink.Primary{Member: best.ID, Term: best.Look.Term}
-	if known.Version != 0 || !loaded {
+	if !loaded || !bbrsuccession.Proves(known.Record, known.Version != 0, p.Term) {
 		// The change may not be over: older proofs have to run out first.
 		p.UsableFrom = n.clock.Now().Add(bbrproof.Lease)
 	}
@@ -124,7 +125,7 @@
 	members := n.looks(ctx, g)
 	n.noteReceived(g.Name(), p, members)
 	for _, c := range members {
-		if c.Answered && c.Look.Role == bbrmessage.RolePrimary && c.Look.Term > p.Term {
+		if c.Answered && c.Look.Role == bbrmessage.RolePrimary && c.ID != p.Member && c.Look.Term >= p.Term {
 			n.identify(ctx, g)
 			return
 		}
@@ -232,7 +233,7 @@
 		}
 		for _, g := range n.allGroups() {
 			p := g.Primary()
-			if bbrsuccession.Proves(n.known(g.Name()).Record, known[g.Name()], p.Member, p.Term) {
+			if bbrsuccession.Proves(n.known(g.Name()).Record, known[g.Name()], p.Term) {
 				g.ProveTerm(p.Term, sentAt)
 			}
 		}
--- a/bbrsuccession/succession.go
+++ b/bbrsuccession/succession.go
@@ -95,13 +95,11 @@
 	return k.Record.Phase != PhaseClaimed || k.Record.Holder == holder || now.Sub(k.SeenAt) > takeoverAfter
 }
 
-// Proves reports whether a record shows that no change has begun since a member
-// became the primary of a term. known is false if the store has no record.
-func Proves(r Record, known bool, primary bbrtype.MemberName, term bbrtype.Term) bool {
-	if !known {
-		return true
-	}
-	return r.Phase == PhaseNamed && r.Primary == primary && r.Term == term
+// Proves reports whether a record shows that no change has begun since a term had
+// its primary. known is false if the store has no record. The primary's name does
+// not matter: one that crashed may come back under another.
+func Proves(r Record, known bool, term bbrtype.Term) bool {
+	return !known || r.Phase == PhaseNamed && r.Term == term
 }
 
 // Claim returns the record that begins a change.
@@ -156,6 +154,11 @@
 	Sync int
 	// Acked is the newest position that is known to have been acknowledged.
 	Acked bbrmessage.Place
+	// OldTerm is the term of the primary that is replaced.
+	OldTerm bbrtype.Term
+	// Welcome is set if the old primary may go on, should it answer again before
+	// the barrier is reached.
+	Welcome bool
 }
 
 // Complete adds those that may be at work and were not asked, as members that did
@@ -226,7 +229,7 @@
 // Sync - 1 of them, or the old primary has to have stepped down. A replica that
 // lacks a commit known to have been acknowledged is never chosen.
 func Choose(q Question) Choice {
-	if c, ok := leader(q.Members, q.Term); ok {
+	if c, ok := leader(q); ok {
 		return c
 	}
 	var held []Candidate
@@ -250,6 +253,8 @@
 		best, ok = *stepped, true
 	}
 	switch {
+	case (!ok || !complete) && q.Welcome && leadsAgain(q):
+		return Choice{Decision: DecisionAdopt, Member: q.Old, Term: q.OldTerm}
 	case !ok:
 		return Choice{Decision: DecisionWait, Why: "no replica holds"}
 	case !complete && stepped == nil:
@@ -260,16 +265,30 @@
 	return Choice{Decision: DecisionPromote, Member: best.ID, Term: q.Term}
 }
 
-// leader returns a member that leads the term or a newer one already.
-func leader(members []Candidate, term bbrtype.Term) (Choice, bool) {
-	for _, m := range members {
-		if m.Answered && m.Look.Role == bbrmessage.RolePrimary && m.Look.Term >= term {
+// leader returns a member that leads a newer term already, or the same term under
+// another name: a primary that crashed and came back with its log.
+func leader(q Question) (Choice, bool) {
+	for _, m := range q.Members {
+		if !m.Answered || m.Look.Role != bbrmessage.RolePrimary {
+			continue
+		}
+		if m.Look.Term > q.OldTerm || m.ID != q.Old && m.Look.Term == q.OldTerm {
 			return Choice{Decision: DecisionAdopt, Member: m.ID, Term: m.Look.Term}, true
 		}
 	}
 	return Choice{}, false
 }
 
+// leadsAgain reports whether the old primary answers as such.
+func leadsAgain(q Question) bool {
+	for _, m := range q.Members {
+		if m.ID == q.Old && m.Answered && m.Look.Role == bbrmessage.RolePrimary && m.Look.Term == q.OldTerm {
+			return true
+		}
+	}
+	return false
+}
+
 // highest returns the member with the highest position. Among equals one that
 // stays goes first.
 func highest(held []Candidate) (Candidate, bool) {
