Go on at once with a primary of the same term

Cause: a change that ends with the old term waited for proofs to run out, although no other primary had been ordered. Change: the wait is for newer terms only.

--- a/bbrnode/change.go
+++ b/bbrnode/change.go
@@ -104,7 +104,10 @@
 			return err
 		}
 	}
-	sleep(ctx, barrier.Add(bbrproof.Lease).Sub(c.node.clock.Now()))
+	if choice.Term > c.old.Term {
+		// Older proofs of other instances have to run out first.
+		sleep(ctx, barrier.Add(bbrproof.Lease).Sub(c.node.clock.Now()))
+	}
 	return c.name(ctx, choice)
 }
 
