Order what waits by what callers still get from it

Statements waited in order of arrival to the end of their time, so nearly all were late or refused after 780 ms, and each instance had the same two places: one that has a data centre to itself held 60 to 78 statements while another held none. Transactions kept a place through their pauses.

Now bbrplace orders by priority, then those that can still be in time, the shorter objective first; late ones come after them and are turned away once none was served for a second. What can't be served before its deadline is turned away at once. The number at work at a member follows its answers and what an instance has to turn away (pace.go). A transaction that pauses keeps its connection, not its place.

--- a/bbrlink/conn.go
+++ b/bbrlink/conn.go
@@ -23,6 +23,9 @@
 	// detached is set while the connection holds no place at its member: the answer
 	// that it waits for counts as lost.
 	detached bool
+	// resting is set while a transaction keeps the connection and nothing is at work
+	// for it.
+	resting  bool
 	idleFrom bbrtype.Mono
 }
 
@@ -92,6 +95,7 @@
 // Run sends a statement behind its prelude and returns the reply to it. After an
 // error the connection is broken, and whether the statement has run is unknown.
 func (c *Conn) Run(deadline time.Time, prelude []bbrmessage.Guarded, g bbrmessage.Guarded) (bbrmessage.Reply, error) {
+	c.group.wake(c)
 	sentAt := c.group.Clock.Now()
 	c.group.sent(c.member.ID, sentAt)
 	defer c.group.answered(c.member.ID, sentAt)
@@ -142,6 +146,10 @@
 	return c.Texts().ParseLook(r.Rows[0])
 }
 
+// Rest gives up the connection's place at its member until the next statement of
+// the transaction that keeps it.
+func (c *Conn) Rest() { c.group.rest(c) }
+
 // Break makes the connection unfit for further use.
 func (c *Conn) Break() { c.broken = true }
 
--- a/bbrlink/evidence.go
+++ b/bbrlink/evidence.go
@@ -37,7 +37,7 @@
 		}
 		return
 	}
-	g.board.Answered(id, now.Sub(e.SentAt), e.Reply.Place)
+	g.board.Answered(id, now.Sub(e.SentAt), e.Reply.Place, now)
 	if id != g.primary.Member {
 		return
 	}
--- a/bbrlink/group.go
+++ b/bbrlink/group.go
@@ -150,6 +150,7 @@
 			Near:    m.DataCentre == g.DataCentre,
 			Leaving: m.Draining,
 			Limit:   limit,
+			Most:    limit + extraConnections,
 		})
 	}
 	g.board.Dispatch(g.Clock.Now())
--- a/bbrlink/pool.go
+++ b/bbrlink/pool.go
@@ -17,6 +17,9 @@
 var (
 	// ErrNoRoom means that no member had room before the deadline.
 	ErrNoRoom = errors.New("no member had room in time")
+	// ErrOverloaded means that the members have so much work that none would have
+	// room in time.
+	ErrOverloaded = errors.New("the members have more work than they can do in time")
 	// ErrUnreachable means that the chosen member took no connection.
 	ErrUnreachable = errors.New("the member took no connection")
 )
@@ -28,6 +31,11 @@
 	// free, as one of so many: members hold the connections of instances that lost
 	// power for some seconds, and those that start again need others.
 	spareParts = 2
+	// extraConnections is what an instance with more callers than others may use
+	// beyond its share of a member's connections.
+	extraConnections = 1
+	// extraIdleLimit is how long a connection beyond the share may stay unused.
+	extraIdleLimit = 200 * time.Millisecond
 	// idleLimit is how long a connection beyond the first may stay unused.
 	idleLimit = 2 * time.Second
 	// scarceIdleLimit is how long any connection may stay unused where members do
@@ -39,7 +47,12 @@
 // until the deadline of want.
 func (g *Group) Acquire(ctx context.Context, want bbrplace.Want) (*Conn, error) {
 	granted := make(chan bbrtype.MemberName, 1)
-	w := &bbrplace.Waiter{Want: want, Granted: func(id bbrtype.MemberName) { granted <- id }}
+	turnedAway := make(chan struct{}, 1)
+	w := &bbrplace.Waiter{
+		Want:       want,
+		Granted:    func(id bbrtype.MemberName) { granted <- id },
+		TurnedAway: func() { turnedAway <- struct{}{} },
+	}
 	g.mu.Lock()
 	now := g.Clock.Now()
 	g.board.Ask(w, now)
@@ -47,6 +60,8 @@
 	select {
 	case id := <-granted:
 		return g.connect(ctx, id)
+	case <-turnedAway:
+		return nil, ErrOverloaded
 	default:
 	}
 	timer := time.NewTimer(want.Deadline.Sub(now))
@@ -54,16 +69,28 @@
 	select {
 	case id := <-granted:
 		return g.connect(ctx, id)
+	case <-turnedAway:
+		return nil, ErrOverloaded
 	case <-timer.C:
 	case <-ctx.Done():
 	}
+	g.leave(w, granted)
+	return nil, ErrNoRoom
+}
+
+// leave takes a statement out that waits no longer. A place that it was granted
+// meanwhile is given back.
+func (g *Group) leave(w *bbrplace.Waiter, granted <-chan bbrtype.MemberName) {
 	g.mu.Lock()
-	removed := g.board.Remove(w)
-	g.mu.Unlock()
-	if !removed {
-		g.giveBack(<-granted)
+	defer g.mu.Unlock()
+	if g.board.Remove(w) {
+		return
+	}
+	select {
+	case id := <-granted:
+		g.board.Release(id, g.Clock.Now())
+	default:
 	}
-	return nil, ErrNoRoom
 }
 
 // giveBack releases a member's place without a connection.
@@ -157,6 +184,10 @@
 	defer g.mu.Unlock()
 	now := g.Clock.Now()
 	id := c.member.ID
+	if c.resting {
+		c.resting = false
+		g.board.Wake(id)
+	}
 	m, known := g.members[id]
 	if c.broken || !known || m.Born != c.member.Born {
 		g.hangUp(c)
@@ -195,6 +226,26 @@
 	}
 }
 
+// rest gives up a connection's place at its member while a transaction pauses.
+func (g *Group) rest(c *Conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !c.resting {
+		c.resting = true
+		g.board.Rest(c.member.ID, g.Clock.Now())
+	}
+}
+
+// wake takes the place of a connection that rested.
+func (g *Group) wake(c *Conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.resting {
+		c.resting = false
+		g.board.Wake(c.member.ID)
+	}
+}
+
 // closeIdle closes the unused connections to a member.
 func (g *Group) closeIdle(id bbrtype.MemberName) {
 	for _, c := range g.idle[id] {
@@ -225,6 +276,10 @@
 		keep, limit = 0, scarceIdleLimit
 	}
 	for id, list := range g.idle {
+		for len(list) > 0 && g.open[id] > g.share() && now.Sub(list[0].idleFrom) > extraIdleLimit {
+			g.hangUp(list[0])
+			list = list[1:]
+		}
 		for len(list) > keep && now.Sub(list[0].idleFrom) > limit {
 			g.hangUp(list[0])
 			list = list[1:]
--- a/bbrplace/place.go
+++ b/bbrplace/place.go
@@ -4,8 +4,11 @@
 //
 // Each member has room for a number of statements of this instance. A read goes
 // to the member with the least expected wait among those that are fresh enough;
-// the primary is kept for what only it can do. Who finds no room waits in order
-// of priority, then of arrival, for any member that may serve the statement.
+// the primary is kept for what only it can do. Who finds no room waits for any
+// member that may serve the statement: in order of priority, then those that can
+// still be served in time, the one that is due first going first. While members
+// have more work than they can do, who can't be served in time is turned away at
+// once, so that the caller can try elsewhere.
 //
 // # Usage
 //
@@ -67,14 +70,19 @@
 	Near bool
 	// Leaving members take no new work that others can do.
 	Leaving bool
-	// Limit is the number of statements that may be at work there at once.
-	Limit int
+	// Limit is the number of statements that may usually be at work there at once,
+	// Most the number for an instance that has more callers than others, 0 for no
+	// more than Limit.
+	Limit, Most int
 }
 
 // seat is a member with what its answers told.
 type seat struct {
 	Member
 	inUse int
+	// resting is the number of connections that transactions keep while nothing is
+	// at work for them.
+	resting int
 	// open is the number of connections, used or not.
 	open    int
 	answer  time.Duration
@@ -87,30 +95,10 @@
 	// ceiling bounds the statements at work until ceilingTo.
 	ceiling   int
 	ceilingTo bbrtype.Mono
-}
-
-// Want is what a statement needs.
-type Want struct {
-	// PrimaryOnly is set for what only the primary can do.
-	PrimaryOnly bool
-	// Floor is the least log position of a replica.
-	Floor bbrmessage.Place
-	// Avoid are members that were tried already.
-	Avoid []bbrtype.MemberName
-	// Only names the one member that will do, empty for any.
-	Only     bbrtype.MemberName
-	Priority int
-	Deadline bbrtype.Mono
-}
-
-// Waiter is a statement that asks for a member.
-type Waiter struct {
-	Want
-	// Granted is called once, when the statement has a member.
-	Granted func(bbrtype.MemberName)
-
-	order  uint64
-	queued bool
+	pace
+	// fullFrom is since when the member has had work for every place, 0 if it has
+	// room.
+	fullFrom bbrtype.Mono
 }
 
 // Board holds the members of a group and the statements that wait. The zero
@@ -119,6 +107,8 @@
 	seats   map[bbrtype.MemberName]*seat
 	waiting []*Waiter
 	order   uint64
+	// lateServedAt is when a late statement last got a member.
+	lateServedAt bbrtype.Mono
 }
 
 // SetMember enters a member or changes it.
@@ -129,83 +119,18 @@
 	s := b.seats[m.ID]
 	if s == nil {
 		s = &seat{answer: usualAnswer}
+		s.pace.reset(m)
 		b.seats[m.ID] = s
 	}
+	if s.Limit != m.Limit || s.Most != m.Most {
+		s.pace.reset(m)
+	}
 	s.Member = m
 }
 
 // Forget drops a member.
 func (b *Board) Forget(id bbrtype.MemberName) { delete(b.seats, id) }
 
-// Waiting returns the number of statements that wait.
-func (b *Board) Waiting() int { return len(b.waiting) }
-
-// Ask grants a member at once or lets the statement wait.
-func (b *Board) Ask(w *Waiter, now bbrtype.Mono) {
-	if s := b.pick(&w.Want, now); s != nil {
-		s.inUse++
-		w.Granted(s.ID)
-		return
-	}
-	b.order++
-	w.order = b.order
-	w.queued = true
-	i, _ := slices.BinarySearchFunc(b.waiting, w, compareWaiters)
-	b.waiting = slices.Insert(b.waiting, i, w)
-}
-
-// compareWaiters orders by priority, then by arrival.
-func compareWaiters(a, b *Waiter) int {
-	if a.Priority != b.Priority {
-		return a.Priority - b.Priority
-	}
-	if a.order < b.order {
-		return -1
-	}
-	return 1
-}
-
-// Remove takes out a statement that gave up. It returns false if it was granted
-// a member already.
-func (b *Board) Remove(w *Waiter) bool {
-	if !w.queued {
-		return false
-	}
-	w.queued = false
-	b.waiting = slices.DeleteFunc(b.waiting, func(o *Waiter) bool { return o == w })
-	return true
-}
-
-// Release notes that a statement has left a member.
-func (b *Board) Release(id bbrtype.MemberName, now bbrtype.Mono) {
-	if s := b.seats[id]; s != nil && s.inUse > 0 {
-		s.inUse--
-	}
-	b.Dispatch(now)
-}
-
-// Dispatch grants members to those that wait, as far as there is room.
-func (b *Board) Dispatch(now bbrtype.Mono) {
-	var granted []*Waiter
-	rest := b.waiting[:0]
-	var ids []bbrtype.MemberName
-	for _, w := range b.waiting {
-		s := b.pick(&w.Want, now)
-		if s == nil {
-			rest = append(rest, w)
-			continue
-		}
-		s.inUse++
-		w.queued = false
-		granted, ids = append(granted, w), append(ids, s.ID)
-	}
-	clear(b.waiting[len(rest):])
-	b.waiting = rest
-	for i, w := range granted {
-		w.Granted(ids[i])
-	}
-}
-
 // pick returns the member with room and the least expected wait, nil if none of
 // those that may serve has room.
 func (b *Board) pick(w *Want, now bbrtype.Mono) *seat {
@@ -242,10 +167,17 @@
 
 // hasRoom reports whether another statement may be sent to a member.
 func (s *seat) hasRoom(now bbrtype.Mono) bool {
-	if now < s.ceilingTo && s.inUse >= s.ceiling {
-		return false
+	return s.inUse < s.room(now)
+}
+
+// room is the number of statements that may be at work at a member at once: the
+// pace, as far as there are connections that no transaction keeps.
+func (s *seat) room(now bbrtype.Mono) int {
+	connections := max(s.Limit, s.Most)
+	if now < s.ceilingTo {
+		connections = min(connections, s.ceiling)
 	}
-	return s.inUse < s.Limit
+	return max(0, min(s.pace.room(), connections-s.resting))
 }
 
 // isFresh reports whether a replica is expected to have a position.
@@ -268,7 +200,7 @@
 	if !s.Near {
 		cost += otherDataCentre
 	}
-	if s.open <= s.inUse {
+	if s.open <= s.inUse+s.resting {
 		cost += opening
 	}
 	return cost
@@ -292,13 +224,14 @@
 }
 
 // Answered notes an answer: how long it took, and the position it showed.
-func (b *Board) Answered(id bbrtype.MemberName, took time.Duration, applied bbrmessage.Place) {
+func (b *Board) Answered(id bbrtype.MemberName, took time.Duration, applied bbrmessage.Place, now bbrtype.Mono) {
 	s := b.seats[id]
 	if s == nil {
 		return
 	}
 	s.refusals = 0
 	s.answer += time.Duration(answerWeight * float64(took-s.answer))
+	s.pace.answered(s.answer, now)
 	s.applied = bbrmessage.Latest(s.applied, applied)
 }
 
@@ -346,3 +279,21 @@
 		s.inUse++
 	}
 }
+
+// Rest notes that a transaction keeps a connection while nothing is at work for
+// it.
+func (b *Board) Rest(id bbrtype.MemberName, now bbrtype.Mono) {
+	if s := b.seats[id]; s != nil {
+		s.resting++
+	}
+	b.Release(id, now)
+}
+
+// Wake notes that a transaction that rested goes on. It waits for nobody: others
+// may wait for what it holds.
+func (b *Board) Wake(id bbrtype.MemberName) {
+	if s := b.seats[id]; s != nil {
+		s.resting = max(0, s.resting-1)
+	}
+	b.Occupy(id)
+}
--- a/bbrplace/place_test.go
+++ b/bbrplace/place_test.go
@@ -53,11 +53,11 @@
 		}, want: Want{Floor: place(8)}, member: "r1"},
 		"an answer after a refusal": {prepare: func(b *Board) {
 			b.Refused("r1", place(9), start)
-			b.Answered("r1", time.Millisecond, place(7))
+			b.Answered("r1", time.Millisecond, place(7), start)
 		}, want: Want{Floor: place(9)}, member: "r2"},
 		"a replica that caught up": {prepare: func(b *Board) {
 			b.Refused("r1", place(9), start)
-			b.Answered("r1", time.Millisecond, place(9))
+			b.Answered("r1", time.Millisecond, place(9), start)
 		}, want: Want{Floor: place(9)}, member: "r1"},
 		"both replicas lag": {prepare: func(b *Board) {
 			b.Refused("r1", place(9), start)
@@ -101,7 +101,7 @@
 	is.Equal(b.Patience("p"), leastPatience)
 	is.Equal(b.Patience("unknown"), leastPatience)
 	for range 100 {
-		b.Answered("p", 200*time.Millisecond, place(1))
+		b.Answered("p", 200*time.Millisecond, place(1), start)
 	}
 	is.True(b.Patience("p") > 4*leastPatience)
 	is.Equal(b.Patience("r1"), leastPatience)
--- a/bbrsession/statement.go
+++ b/bbrsession/statement.go
@@ -65,6 +65,14 @@
 // left returns the time that is left.
 func (a *attempt) left() time.Duration { return a.deadline.Sub(a.x.server.Clock.Now()) }
 
+// due is when the caller should have the answer, 0 if the route states no time.
+func (a *attempt) due() bbrtype.Mono {
+	if a.route.Objective <= 0 {
+		return 0
+	}
+	return a.arrived.Add(a.route.Objective)
+}
+
 // newAttempt makes an attempt of a statement.
 func (x *session) newAttempt(st bbrmessage.Statement, route bbrcatalog.Route, group *bbrlink.Group, access bbrmessage.Access, arrived bbrtype.Mono) *attempt {
 	timeout := route.Timeout
@@ -125,6 +133,8 @@
 		want.Avoid = a.avoid
 		want.Priority = a.route.Priority
 		want.Deadline = a.deadline
+		want.Due = a.due()
+		want.Objective = a.route.Objective
 		conn, err := a.group.Acquire(ctx, want)
 		if err == nil {
 			a.under = a.group.Primary()
--- a/bbrsession/transaction.go
+++ b/bbrsession/transaction.go
@@ -27,6 +27,7 @@
 	if reply.Failure != nil {
 		return x.failTransactionAtMember(reply.Failure)
 	}
+	tx.conn.Rest()
 	return bbrmessage.Reply{Rows: reply.Rows, Proof: reply.Proof, State: x.state()}
 }
 
