Let few instances look into a change, and leave full members alone

Every instance saw the primary leave at once and looked at all members; the looks filled their connections, so no change got to its end within 10 s, and the leaving primary went on getting work.

One look no longer shows that replicas receive nothing. The store is asked at most every 300 ms by the instance that asks for its data centre, every second by others; all members are looked at for a proof at most every 500 ms. A member that took no connection is left out, for the primary's work too. Where connections are scarce nobody has more than its share.

--- a/bbrlink/group.go
+++ b/bbrlink/group.go
@@ -36,6 +36,9 @@
 	Log        logrus.FieldLogger
 	Group      *errgroup.Group
 	DataCentre bbrtype.DataCentre
+	// DrainBound is how long a member that has said that it leaves may get work, 0 for
+	// no bound.
+	DrainBound time.Duration
 	// Instances returns the number of instances that share the members.
 	Instances func() int
 	// Vouch asks the store whether changes of primary have begun, and notes the
@@ -53,6 +56,8 @@
 	mu      sync.Mutex
 	board   bbrplace.Board
 	members map[bbrtype.MemberName]bbrdirectory.Member
+	// leaving is when members were first seen to leave.
+	leaving map[bbrtype.MemberName]bbrtype.Mono
 	// departed may still confirm commits for a primary that reaches them.
 	departed []bbrdirectory.Member
 	idle     map[bbrtype.MemberName][]*Conn
@@ -70,6 +75,9 @@
 	// proving is closed when the proof that is under way has ended.
 	proving  chan struct{}
 	provedAt bbrtype.Mono
+	// lookedAtAll is when the last proof by all members began. Only the proof that is
+	// under way uses it.
+	lookedAtAll bbrtype.Mono
 	// acked is the newest position acknowledged to this instance.
 	acked     bbrmessage.Place
 	demotedAt bbrtype.Mono
@@ -95,6 +103,7 @@
 		Deps:    deps,
 		name:    name,
 		members: map[bbrtype.MemberName]bbrdirectory.Member{},
+		leaving: map[bbrtype.MemberName]bbrtype.Mono{},
 		idle:    map[bbrtype.MemberName][]*Conn{},
 		open:    map[bbrtype.MemberName]int{},
 		contact: map[bbrtype.MemberName]contact{},
@@ -115,6 +124,7 @@
 	seen := map[bbrtype.MemberName]bool{}
 	for _, m := range members {
 		seen[m.ID] = true
+		g.noteLeaving(m)
 		old, known := g.members[m.ID]
 		g.members[m.ID] = m
 		if known && old.Born != m.Born {
@@ -125,6 +135,7 @@
 		if !seen[id] {
 			delete(g.members, id)
 			delete(g.contact, id)
+			delete(g.leaving, id)
 			g.board.Forget(id)
 			g.closeIdle(id)
 		}
@@ -132,6 +143,31 @@
 	g.refresh()
 }
 
+// drainMargin is how long before the end of DrainBound a member gets its last
+// work: its word took a while to come here, and work waits at members.
+const drainMargin = 1500 * time.Millisecond
+
+// noteLeaving notes since when a member is leaving. The caller holds mu.
+func (g *Group) noteLeaving(m bbrdirectory.Member) {
+	if !m.Draining {
+		delete(g.leaving, m.ID)
+		return
+	}
+	if g.leaving[m.ID] == 0 {
+		g.leaving[m.ID] = g.Clock.Now()
+		if g.DrainBound > 0 {
+			time.AfterFunc(g.DrainBound-drainMargin+time.Millisecond, g.Refresh)
+		}
+	}
+}
+
+// isOverdue reports whether a member gets no more work because it should have
+// left. The caller holds mu.
+func (g *Group) isOverdue(id bbrtype.MemberName) bool {
+	since := g.leaving[id]
+	return g.DrainBound > 0 && since != 0 && g.Clock.Now().Sub(since) > g.DrainBound-drainMargin
+}
+
 // Refresh gives the board the members as they are now.
 func (g *Group) Refresh() {
 	g.mu.Lock()
@@ -142,15 +178,19 @@
 // refresh gives the board the members as they are now.
 func (g *Group) refresh() {
 	limit := g.share()
+	most := limit + extraConnections
+	if g.isScarce() {
+		most = limit
+	}
 	usable := g.Clock.Now() >= g.primary.UsableFrom
 	for id, m := range g.members {
 		g.board.SetMember(bbrplace.Member{
 			ID:      id,
-			Primary: id == g.primary.Member && usable,
+			Primary: id == g.primary.Member && usable && !g.isOverdue(id),
 			Near:    m.DataCentre == g.DataCentre,
 			Leaving: m.Draining,
 			Limit:   limit,
-			Most:    limit + extraConnections,
+			Most:    most,
 		})
 	}
 	g.board.Dispatch(g.Clock.Now())
@@ -163,6 +203,10 @@
 	return max(1, (g.service.MaxConnections/spareParts+n-1)/n)
 }
 
+// isScarce reports whether members take fewer connections than one of each
+// instance and some to spare.
+func (g *Group) isScarce() bool { return g.service.MaxConnections/spareParts < g.Instances() }
+
 // SetPrimary names the primary that the group is served by.
 func (g *Group) SetPrimary(p Primary) {
 	g.mu.Lock()
--- a/bbrlink/pool.go
+++ b/bbrlink/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
@@ -158,7 +159,10 @@
 	now := g.Clock.Now()
 	var f *bbrmessage.Failure
 	if errors.As(err, &f) && f.Class == bbrmessage.ClassTooManyConnections {
-		g.board.Full(id, g.open[id], now)
+		if pause := g.board.Full(id, g.open[id], now); pause > 0 {
+			// Not all instances at the same moment.
+			time.AfterFunc(pause+time.Duration(rand.Int64N(int64(pause/2))), g.Refresh)
+		}
 		return
 	}
 	g.fail(id, now)
@@ -272,7 +276,7 @@
 	defer g.mu.Unlock()
 	now := g.Clock.Now()
 	keep, limit := 1, idleLimit
-	if g.service.MaxConnections/spareParts < g.Instances() {
+	if g.isScarce() {
 		keep, limit = 0, scarceIdleLimit
 	}
 	for id, list := range g.idle {
--- a/bbrlink/prove.go
+++ b/bbrlink/prove.go
@@ -11,6 +11,10 @@
 	"github.com/bluebellroute/bluebellroute/bbrtype"
 )
 
+// membersGap is the least time between two proofs by all members, which cost each
+// of them a look.
+const membersGap = 500 * time.Millisecond
+
 // proveGap is the least time between two proofs that are asked for.
 const proveGap = 100 * time.Millisecond
 
@@ -135,6 +139,10 @@
 // forgets what it held may follow another primary already.
 func (g *Group) proveByMembers(ctx context.Context, p Primary) {
 	sentAt := g.Clock.Now()
+	if g.lookedAtAll != 0 && sentAt.Sub(g.lookedAtAll) < membersGap {
+		return
+	}
+	g.lookedAtAll = sentAt
 	members := g.Members()
 	results := make(chan LookResult, len(members))
 	for _, m := range members {
--- a/bbrnode/keeper.go
+++ b/bbrnode/keeper.go
@@ -28,14 +28,18 @@
 	// at.
 	silenceBeforeLook = 250 * time.Millisecond
 	// receivedFresh is how long a look at replicas may serve to see them move.
-	receivedFresh = time.Second
+	receivedFresh = longestTurn + 500*time.Millisecond
 	// vouchTimeout bounds the question to the store whether a change has begun.
 	vouchTimeout = 350 * time.Millisecond
+	// speakerVouchGap is the least time between two such questions of the instance
+	// that asks for its data centre, vouchGap that of the others.
+	speakerVouchGap = 300 * time.Millisecond
+	vouchGap        = time.Second
 )
 
 // keep looks after the groups until ctx ends.
 func (n *Node) keep(ctx context.Context) {
-	looked := map[bbrtype.GroupName]bbrtype.Mono{}
+	turns := map[bbrtype.GroupName]*turn{}
 	for ctx.Err() == nil {
 		n.mu.Lock()
 		if n.directory.Expire(n.clock.Now()) {
@@ -44,35 +48,37 @@
 		n.mu.Unlock()
 		for _, g := range n.allGroups() {
 			g.Trim()
-			if n.clock.Now().Sub(looked[g.Name()]) < lookEvery {
-				continue
-			}
-			if n.look(ctx, g) {
-				looked[g.Name()] = n.clock.Now()
+			t := turns[g.Name()]
+			if t == nil {
+				t = &turn{}
+				turns[g.Name()] = t
 			}
+			n.look(ctx, g, t)
 		}
 		sleep(ctx, keepEvery)
 	}
 }
 
-// look does for a group what is due. It reports whether members are looked at.
-func (n *Node) look(ctx context.Context, g *bbrlink.Group) bool {
+// look does for a group what is due. What concerns all instances alike is looked
+// into by few of them first.
+func (n *Node) look(ctx context.Context, g *bbrlink.Group, t *turn) {
 	p := g.Primary()
+	now := n.clock.Now()
+	common := p.Member == "" || g.Failing(p.Member) != 0 || g.Demoted() != 0 || g.Stalled() != 0 || n.mayBeDue(g, p)
+	t.note(common, now)
 	switch {
-	case p.Member == "":
+	case p.Member == "" && (t.lookedAt == 0 || t.isDue(n.rank(g.Name()), now)):
 		n.aside(func() { n.identify(ctx, g) })
-	case g.Failing(p.Member) != 0 || g.Demoted() != 0 || g.Stalled() != 0:
+	case p.Member != "" && common && t.isDue(n.rank(g.Name()), now):
 		n.aside(func() { n.examine(ctx, g, p) })
-	case n.isSilent(g, p.Member):
+	case p.Member != "" && n.isSilent(g, p.Member) && t.isDue(0, now):
 		n.aside(func() { _, _ = g.LookAt(ctx, p.Member) })
-	case n.mayBeDue(g, p):
-		n.aside(func() { n.examine(ctx, g, p) })
-	case n.clock.Now().Sub(g.Newest()) > sampleBefore:
+	case !common && now.Sub(g.Newest()) > sampleBefore && t.isDue(0, now):
 		n.aside(func() { g.Prove(ctx) })
 	default:
-		return false
+		return
 	}
-	return true
+	t.lookedAt = now
 }
 
 // aside runs work without waiting for it.
@@ -143,7 +149,7 @@
 // answer.
 func (n *Node) mayBeDue(g *bbrlink.Group, p bbrlink.Primary) bool {
 	s := n.situation(g, p)
-	s.Successor, s.Ahead = true, true
+	s.Successor, s.Ahead, s.WatchedFrom = true, true, 1
 	_, due := bbrsuccession.Due(s, n.clock.Now())
 	return due
 }
@@ -152,8 +158,9 @@
 type received struct {
 	primary bbrlink.Primary
 	place   bbrmessage.Place
-	// at is when it was last seen to move, lookedAt when it was last looked at.
-	at, lookedAt bbrtype.Mono
+	// at is when it was last seen to move, lookedAt when it was last looked at, from
+	// when it was first looked at in this series.
+	at, lookedAt, from bbrtype.Mono
 }
 
 // noteReceived notes how far replicas have received from a primary.
@@ -163,7 +170,7 @@
 	now := n.clock.Now()
 	r := n.received[name]
 	if r.primary != p || now.Sub(r.lookedAt) > receivedFresh {
-		r = received{primary: p}
+		r = received{primary: p, from: now}
 	}
 	for _, c := range members {
 		if !c.Answered || c.ID == p.Member || !r.place.IsBefore(c.Look.Received) {
@@ -178,21 +185,23 @@
 	n.received[name] = r
 }
 
-// receivedAt returns when replicas were last seen to receive from a primary.
-func (n *Node) receivedAt(name bbrtype.GroupName, p bbrlink.Primary) bbrtype.Mono {
+// seen returns when replicas were last seen to receive from a primary, and since
+// when they are looked at.
+func (n *Node) seen(name bbrtype.GroupName, p bbrlink.Primary) (at, from bbrtype.Mono) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if r := n.received[name]; r.primary == p {
-		return r.at
+		return r.at, r.from
 	}
-	return 0
+	return 0, 0
 }
 
 // situation tells what is known of a primary without a look at its members.
 func (n *Node) situation(g *bbrlink.Group, p bbrlink.Primary) bbrsuccession.Situation {
+	receivedAt, watchedFrom := n.seen(g.Name(), p)
 	s := bbrsuccession.Situation{
 		FailingSince: g.Failing(p.Member), DemotedSince: g.Demoted(),
-		StalledSince: g.Stalled(), ReceivedAt: n.receivedAt(g.Name(), p),
+		StalledSince: g.Stalled(), ReceivedAt: receivedAt, WatchedFrom: watchedFrom,
 		Gone: true, Informed: !g.Acked().IsZero(),
 	}
 	for _, m := range g.Members() {
@@ -218,7 +227,11 @@
 // vouch asks the store whether changes of primary have begun. One reading serves
 // all groups and all that ask meanwhile.
 func (n *Node) vouch(ctx context.Context) error {
-	return n.voucher.do(ctx, func(ctx context.Context) error {
+	gap := speakerVouchGap
+	if _, other := n.speaker(); other {
+		gap = vouchGap
+	}
+	return n.voucher.doAfter(ctx, n.clock.Now(), gap, func(ctx context.Context) error {
 		ctx, cancel := context.WithTimeout(ctx, vouchTimeout)
 		defer cancel()
 		sentAt := n.clock.Now()
--- a/bbrnode/node.go
+++ b/bbrnode/node.go
@@ -203,7 +203,7 @@
 			}
 			g = bbrlink.NewGroup(name, bbrlink.Deps{
 				Dial: n.ports.Dial, Clock: n.clock, Log: n.log, Group: n.work,
-				DataCentre: n.settings.DataCentre, Instances: n.instanceCount, Vouch: n.vouch, Ask: n.askNear,
+				DataCentre: n.settings.DataCentre, DrainBound: n.settings.DrainBound, Instances: n.instanceCount, Vouch: n.vouch, Ask: n.askNear,
 			})
 			n.groups[name] = g
 		}
--- a/bbrplace/place.go
+++ b/bbrplace/place.go
@@ -45,8 +45,10 @@
 	// laggingDoublings bounds the growth of the pause.
 	laggingDoublings = 3
 	// noConnectionPause is how long a member that took no connection at all is left
-	// out.
+	// out. The pause doubles with each further refusal.
 	noConnectionPause = 120 * time.Millisecond
+	// noConnectionDoublings bounds the growth of the pause.
+	noConnectionDoublings = 1
 	// busyPause is how long a member that turned work away is left out.
 	busyPause = 30 * time.Millisecond
 	// suspectPause is how long a member that did not answer is left out.
@@ -91,7 +93,10 @@
 	refused   bbrmessage.Place
 	refusedAt bbrtype.Mono
 	refusals  int
-	pausedTo  bbrtype.Mono
+	// fulls counts the connections that it refused since its last answer, while none
+	// was open.
+	fulls    int
+	pausedTo bbrtype.Mono
 	// ceiling bounds the statements at work until ceilingTo.
 	ceiling   int
 	ceilingTo bbrtype.Mono
@@ -229,7 +234,7 @@
 	if s == nil {
 		return
 	}
-	s.refusals = 0
+	s.refusals, s.fulls = 0, 0
 	s.answer += time.Duration(answerWeight * float64(took-s.answer))
 	s.pace.answered(s.answer, now)
 	s.applied = bbrmessage.Latest(s.applied, applied)
@@ -251,18 +256,22 @@
 }
 
 // Full notes that a member refused a connection, while a number of others were
-// open.
-func (b *Board) Full(id bbrtype.MemberName, open int, now bbrtype.Mono) {
+// open. If none is open, it returns the time after which Dispatch is to be called:
+// no answer would tell that there is room again.
+func (b *Board) Full(id bbrtype.MemberName, open int, now bbrtype.Mono) time.Duration {
 	s := b.seats[id]
 	if s == nil {
-		return
+		return 0
 	}
 	s.ceiling, s.ceilingTo = open, now.Add(fullPause)
 	if open == 0 {
-		// Nothing would tell when there is room again.
-		s.ceiling, s.ceilingTo = 1, now.Add(noConnectionPause)
-		s.pausedTo = now.Add(noConnectionPause)
+		pause := noConnectionPause << min(s.fulls, noConnectionDoublings)
+		s.fulls++
+		s.ceilingTo = now.Add(pause)
+		s.pausedTo = now.Add(pause)
+		return pause
 	}
+	return 0
 }
 
 // Failed notes that a member did not answer.
--- a/bbrrendezvous/rendezvous.go
+++ b/bbrrendezvous/rendezvous.go
@@ -8,6 +8,7 @@
 package bbrrendezvous
 
 import (
+	"slices"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -39,22 +40,22 @@
 	return out
 }
 
-// Contains reports whether an id is among the n that rank highest for a key.
-// It costs no allocation.
-func Contains(key string, ids []bbrtype.InstanceID, n int, id bbrtype.InstanceID) bool {
+// Rank returns how many of the ids rank before one for a key.
+func Rank(key string, ids []bbrtype.InstanceID, id bbrtype.InstanceID) int {
 	own := score(key, id)
 	better := 0
-	found := false
 	for _, other := range ids {
-		if other == id {
-			found = true
-			continue
-		}
-		if s := score(key, other); s > own || (s == own && other < id) {
+		if s := score(key, other); other != id && (s > own || s == own && other < id) {
 			better++
 		}
 	}
-	return found && better < n
+	return better
+}
+
+// Contains reports whether an id is among the n that rank highest for a key.
+// It costs no allocation.
+func Contains(key string, ids []bbrtype.InstanceID, n int, id bbrtype.InstanceID) bool {
+	return slices.Contains(ids, id) && Rank(key, ids, id) < n
 }
 
 func score(key string, id bbrtype.InstanceID) uint64 {
--- a/bbrsuccession/succession.go
+++ b/bbrsuccession/succession.go
@@ -324,6 +324,10 @@
 	return t
 }
 
+// watchTime is how long replicas must have been looked at before it counts that
+// they receive nothing.
+const watchTime = 140 * time.Millisecond
+
 // Situation is what an instance knows of a primary when it asks whether a change
 // is due.
 type Situation struct {
@@ -341,6 +345,8 @@
 	// ReceivedAt is when a replica was last seen to have received from it since it
 	// fails.
 	ReceivedAt bbrtype.Mono
+	// WatchedFrom is since when replicas are looked at, 0 if they were not.
+	WatchedFrom bbrtype.Mono
 	// Draining is set if the primary is about to leave.
 	Draining bool
 	// Gone is set if the primary has no entry any more.
@@ -366,6 +372,9 @@
 	case s.ReceivedAt != 0 && now.Sub(s.ReceivedAt) < elsewhereTime:
 		// Others reach it, so only the way from here is cut.
 		return "", false
+	case !s.Gone && (s.WatchedFrom == 0 || now.Sub(s.WatchedFrom) < watchTime):
+		// A single look does not show whether replicas receive.
+		return "", false
 	case s.Ahead && s.StalledSince != 0 && now.Sub(s.StalledSince) > stallLimit:
 		return "commits are not confirmed", true
 	case s.FailingSince != 0 && now.Sub(s.FailingSince) > limit:
--- a/bbrsuccession/succession_test.go
+++ b/bbrsuccession/succession_test.go
@@ -187,18 +187,30 @@
 		"the primary is slow, and replicas have all":         {s: Situation{StalledSince: now.Add(-stallLimit - 1), Informed: true}},
 		"commits are not confirmed":                          {s: Situation{Ahead: true, StalledSince: now.Add(-stallLimit - 1), Informed: true}, want: true},
 		"nobody leads":                                       {s: Situation{DemotedSince: now.Add(-SilenceLimit - 1), Informed: true}, want: true},
+		"its replicas were looked at once":                   {s: Situation{FailingSince: now.Add(-time.Minute), WatchedFrom: now, Informed: true}},
 		"its entry is gone":                                  {s: Situation{Gone: true, Informed: true}, want: true},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			tt.s.Successor = !tt.alone
+			if tt.s.WatchedFrom == 0 {
+				tt.s.WatchedFrom = now.Add(-watchTime)
+			}
 			_, due := Due(tt.s, now)
 			is.Equal(due, tt.want)
 		})
 	}
 }
 
+// TestOneLookIsNotEnough shows that nothing is due before replicas were looked at.
+func TestOneLookIsNotEnough(t *testing.T) {
+	is := is.New(t)
+	now := bbrtype.Mono(time.Hour)
+	_, due := Due(Situation{FailingSince: now.Add(-time.Minute), Successor: true, Informed: true}, now)
+	is.True(!due)
+}
+
 func TestMayStepDown(t *testing.T) {
 	tests := map[string]struct {
 		members []Candidate
