Tell an instance's state in metrics, with histograms for each route

Cause: on the users' platform an instance told only the times of statements by policy; a route that suffers, a group without a proof or a store that is away did not show.

The number of instances was read without a lock: it is atomic now.

--- a/bbrlink/group.go
+++ b/bbrlink/group.go
@@ -242,6 +242,17 @@
 	return out
 }
 
+// Load returns how many statements wait for a member, and the number of open
+// connections.
+func (g *Group) Load() (waiting, connections int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, n := range g.open {
+		connections += n
+	}
+	return g.board.Waiting(), connections
+}
+
 // MayBeAtWork returns all members known, and those that may still be at work
 // although they are no longer known.
 func (g *Group) MayBeAtWork() []bbrtype.MemberName {
--- /dev/null
+++ b/bbrnode/collector.go
@@ -0,0 +1,54 @@
+package bbrnode
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// The metrics that are read off an instance when they are asked for.
+var (
+	versionDesc     = prometheus.NewDesc("bbr_node_configuration_version", "Version of the configuration in force.", nil, nil)
+	sessionsDesc    = prometheus.NewDesc("bbr_node_sessions", "Open sessions of callers.", nil, nil)
+	instancesDesc   = prometheus.NewDesc("bbr_node_instances", "Instances that the store lists.", nil, nil)
+	tableLostDesc   = prometheus.NewDesc("bbr_node_table_lost", "1 while the store does not answer for a table.", []string{"table"}, nil)
+	waitingDesc     = prometheus.NewDesc("bbr_node_group_waiting", "Statements that wait for a member.", []string{"group"}, nil)
+	connectionsDesc = prometheus.NewDesc("bbr_node_group_connections", "Open connections to members.", []string{"group"}, nil)
+	termDesc        = prometheus.NewDesc("bbr_node_group_term", "Term of the primary in use, 0 if none is known.", []string{"group"}, nil)
+	proofAgeDesc    = prometheus.NewDesc("bbr_node_group_proof_age_seconds", "Age of the newest proof of the primary in use.", []string{"group"}, nil)
+)
+
+// collector reads an instance's state for the metrics.
+type collector struct{ node *Node }
+
+// Describe names the metrics.
+func (c collector) Describe(out chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{versionDesc, sessionsDesc, instancesDesc, tableLostDesc, waitingDesc, connectionsDesc, termDesc, proofAgeDesc} {
+		out <- d
+	}
+}
+
+// Collect reads them.
+func (c collector) Collect(out chan<- prometheus.Metric) {
+	n := c.node
+	gauge := func(d *prometheus.Desc, v float64, labels ...string) {
+		out <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
+	}
+	if current := n.catalog.Current(); current != nil {
+		gauge(versionDesc, float64(current.Version))
+	}
+	gauge(sessionsDesc, float64(n.sessions.Sessions()))
+	gauge(instancesDesc, float64(n.instanceCount()))
+	for _, t := range n.tables() {
+		lost := 0.0
+		if n.isLost(t.name) {
+			lost = 1
+		}
+		gauge(tableLostDesc, lost, t.name)
+	}
+	for _, g := range n.allGroups() {
+		name := string(g.Name())
+		waiting, connections := g.Load()
+		gauge(waitingDesc, float64(waiting), name)
+		gauge(connectionsDesc, float64(connections), name)
+		known := g.Share()
+		gauge(termDesc, float64(known.Term), name)
+		gauge(proofAgeDesc, known.ProvenAgo.Seconds(), name)
+	}
+}
--- /dev/null
+++ b/bbrnode/metric_test.go
@@ -0,0 +1,95 @@
+package bbrnode
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	dto "github.com/prometheus/client_model/go"
+	"github.com/sirupsen/logrus"
+
+	"github.com/bluebellroute/bluebellroute/bbrcatalog"
+	"github.com/bluebellroute/bluebellroute/bbrlink"
+	"github.com/bluebellroute/bluebellroute/bbrtype"
+)
+
+// newTestNode returns an instance with one group that serves nobody.
+func newTestNode() *Node {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	n := newNode(&Settings{}, Ports{Source: Source{ConfigTable: "configuration", MemberTable: "members"}}, log, bbrtype.NewClock(), newMetrics())
+	n.catalog.Offer(&bbrcatalog.Catalogue{Version: 7})
+	n.groups["orders"] = bbrlink.NewGroup("orders", bbrlink.Deps{Clock: n.clock, Log: log, Instances: n.instanceCount})
+	return n
+}
+
+// families returns the metrics of an instance by name.
+func families(is *is.I, n *Node) map[string]*dto.MetricFamily {
+	all, err := n.metrics.registry.Gather()
+	is.NoErr(err)
+	out := map[string]*dto.MetricFamily{}
+	for _, f := range all {
+		out[f.GetName()] = f
+	}
+	return out
+}
+
+func TestMetricsTellTheState(t *testing.T) {
+	is := is.New(t)
+	n := newTestNode()
+	n.lost["members"] = true
+	f := families(is, n)
+	is.Equal(f["bbr_node_configuration_version"].Metric[0].Gauge.GetValue(), 7.0)
+	is.Equal(f["bbr_node_instances"].Metric[0].Gauge.GetValue(), 1.0)
+	lost := map[string]float64{}
+	for _, m := range f["bbr_node_table_lost"].Metric {
+		lost[m.Label[0].GetValue()] = m.Gauge.GetValue()
+	}
+	is.Equal(lost["members"], 1.0)
+	is.Equal(lost["configuration"], 0.0)
+	is.Equal(f["bbr_node_group_term"].Metric[0].Gauge.GetValue(), 0.0)
+}
+
+func TestSeriesOfRoutesAreBounded(t *testing.T) {
+	is := is.New(t)
+	n := newTestNode()
+	for i := range 3 * mostRoutes {
+		n.metrics.Observe(bbrtype.RouteName(fmt.Sprintf("r%d", i)), bbrcatalog.PolicyPrimary, "done", time.Millisecond)
+	}
+	f := families(is, n)["bbr_node_statement_seconds"]
+	is.Equal(len(f.Metric), mostRoutes+1)
+	total := uint64(0)
+	for _, m := range f.Metric {
+		total += m.Histogram.GetSampleCount()
+	}
+	is.Equal(total, uint64(3*mostRoutes)) // nothing is uncounted
+}
+
+var nodeMetric = regexp.MustCompile(`\bbbr_node_[a-z_]+`)
+
+// TestDocumentsNameMetricsThatExist reads the operators' pages.
+func TestDocumentsNameMetricsThatExist(t *testing.T) {
+	is := is.New(t)
+	n := newTestNode()
+	n.metrics.Observe("r", bbrcatalog.PolicyPrimary, "done", time.Millisecond)
+	have := families(is, n)
+	for _, file := range []string{"operators/alerts.yml", "operators/dashboard.json", "OPERATIONS.md"} {
+		text, err := os.ReadFile("../docs/" + file)
+		is.NoErr(err)
+		found := nodeMetric.FindAllString(string(text), -1)
+		is.True(len(found) > 0)
+		for _, name := range found {
+			for _, suffix := range []string{"_bucket", "_count", "_sum"} {
+				name = strings.TrimSuffix(name, suffix)
+			}
+			if have[name] == nil {
+				t.Errorf("%s: there is no metric %s", file, name)
+			}
+		}
+	}
+}
--- a/bbrnode/node.go
+++ b/bbrnode/node.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -81,7 +82,7 @@
 	directory bbrdirectory.Directory
 	records   map[bbrtype.GroupName]bbrsuccession.Known
 	groups    map[bbrtype.GroupName]*bbrlink.Group
-	instances int
+	instances atomic.Int64
 	// avoided are instances that did not answer, until when.
 	avoided map[string]bbrtype.Mono
 	// peers are the other instances.
@@ -115,6 +116,7 @@
 	n.sessions = bbrsession.New(bbrsession.Deps{
 		Catalog: &n.catalog, Group: n.group, Clock: n.clock, Log: log, Work: n.work, Record: n.metrics,
 	})
+	m.registry.MustRegister(collector{n})
 	return n
 }
 
@@ -137,7 +139,7 @@
 }
 
 // instanceCount returns the number of instances that share the members.
-func (n *Node) instanceCount() int { return max(1, n.instances) }
+func (n *Node) instanceCount() int { return max(1, int(n.instances.Load())) }
 
 // tables are the tables that an instance follows.
 func (n *Node) tables() []table {
--- a/bbrnode/peer.go
+++ b/bbrnode/peer.go
@@ -39,7 +39,7 @@
 func (n *Node) takeInstances(rows []bbrrows.Row) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.instances = len(rows)
+	n.instances.Store(int64(len(rows)))
 	n.peers = n.peers[:0]
 	for _, r := range rows {
 		var e instanceEntry
