Soak fleets of real processes in both dialects

bbrsoak draws a plan of faults from a seed (stops, kills, freezes, reloads, store cut off, down, slow or losing answers, members cut one way or both, delayed, reset, primaries that leave, configurations), strikes a fleet by it while callers work, and judges what they were told: lost, kept though refused, run twice, stale, no service after the faults, fences used twice. platform/trial is the fleet of the users' platform, behind toxiproxy; bbrtrial.SoakFleet that of the PostgreSQL programs.

--- a/bbrtrial/link.go
+++ b/bbrtrial/link.go
@@ -65,14 +65,19 @@
 	k.cut = false
 }
 
-// Close ends the link and its connections.
-func (k *Link) Close() {
-	_ = k.listener.Close()
+// Reset closes all open connections, silent ones too: each side learns of the end.
+func (k *Link) Reset() {
 	k.mu.Lock()
+	defer k.mu.Unlock()
 	for c := range k.conns {
 		_ = c.Close()
 	}
-	k.mu.Unlock()
+}
+
+// Close ends the link and its connections.
+func (k *Link) Close() {
+	_ = k.listener.Close()
+	k.Reset()
 	_ = k.group.Wait()
 }
 
--- /dev/null
+++ b/bbrtrial/soak.go
@@ -0,0 +1,227 @@
+package bbrtrial
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bluebellroute/bluebellroute/bbrsoak"
+	"github.com/bluebellroute/bluebellroute/bbrstandinplatform"
+	"github.com/bluebellroute/bluebellroute/bbrtype"
+)
+
+// SoakOptions shape a fleet of the PostgreSQL programs for a soak.
+type SoakOptions struct {
+	Programs                    Programs
+	Instances, Members, Callers int
+	Seed                        uint64
+	// Logs takes what the processes write.
+	Logs io.Writer
+}
+
+const (
+	// soakPause is the time between two operations of a caller, on average.
+	soakPause = 15 * time.Millisecond
+	// soakLag is how far replicas are behind while a member is delayed.
+	soakLag = 500 * time.Millisecond
+	// applyPatience bounds the applying of a configuration during a soak.
+	applyPatience = 3 * time.Second
+	// stopPatience bounds the end of a process that was told to stop.
+	stopPatience = 10 * time.Second
+)
+
+// SoakFleet lets a plan of faults strike a fleet of the PostgreSQL programs.
+type SoakFleet struct {
+	*ProcessFleet
+	work   *Workload
+	began  time.Time
+	group  bbrtype.GroupName
+	struck map[bbrsoak.Fault]func() error
+}
+
+var _ bbrsoak.Fleet = (*SoakFleet)(nil)
+
+// NewSoakFleet starts a fleet and waits until it serves.
+func NewSoakFleet(ctx context.Context, o SoakOptions) (*SoakFleet, error) {
+	s := Small()
+	s.Instances, s.Members, s.Links, s.Confirm, s.Stderr = o.Instances, o.Members, true, 1, o.Logs
+	fleet, err := NewProcessFleet(ctx, s, o.Programs)
+	if err != nil {
+		return nil, err
+	}
+	w := NewWorkload(fleet, Load{
+		Callers: o.Callers, Rate: float64(o.Callers) / soakPause.Seconds(),
+		WriteShare: 0.4, KeyedShare: 0.3, OwnShare: 0.7, MoveShare: 0.05, TokenShare: 1, Seed: o.Seed,
+	})
+	if err := w.Prepare(ctx); err != nil {
+		fleet.Close()
+		return nil, err
+	}
+	return &SoakFleet{ProcessFleet: fleet, work: w, began: time.Now(), group: s.Groups[0], struck: map[bbrsoak.Fault]func() error{}}, nil
+}
+
+// Work implements bbrsoak.Fleet.
+func (f *SoakFleet) Work(ctx context.Context) { f.work.Run(ctx) }
+
+// Judge implements bbrsoak.Fleet.
+func (f *SoakFleet) Judge() (bbrsoak.Result, error) {
+	r, err := f.work.Judge()
+	if err != nil {
+		return bbrsoak.Result{}, err
+	}
+	out := bbrsoak.Result{
+		Done: r.AcknowledgedWrites, Unknown: r.UnknownOutcomes, Reads: int(r.Statements) - len(f.work.attempts),
+		NotRun: len(f.work.attempts) - r.AcknowledgedWrites - r.UnknownOutcomes, LongestGap: f.work.Gap(f.group, f.began),
+	}
+	if r.Broken() > 0 {
+		out.Broken = append(out.Broken, fmt.Sprintf("lost %d, stale %d, twice %d, falsely not run %d", r.LostAcknowledgedWrites, r.StaleReads, r.DoubleRuns, r.FalseNotRuns))
+		out.Broken = append(out.Broken, r.Examples...)
+	}
+	return out, nil
+}
+
+// Begin implements bbrsoak.Fleet.
+func (f *SoakFleet) Begin(fault bbrsoak.Fault) error {
+	end, err := f.begin(fault)
+	if end != nil {
+		f.struck[fault] = end
+	}
+	return err
+}
+
+// End implements bbrsoak.Fleet.
+func (f *SoakFleet) End(fault bbrsoak.Fault) error {
+	end := f.struck[fault]
+	delete(f.struck, fault)
+	if end == nil {
+		return nil
+	}
+	return end()
+}
+
+// begin lets a fault begin and returns what ends it, nil if nothing does. Members of
+// this dialect do not leave by themselves.
+func (f *SoakFleet) begin(fault bbrsoak.Fault) (func() error, error) {
+	n := fault.Target % f.shape.Instances
+	switch fault.Kind {
+	case bbrsoak.KindStop:
+		return f.strikeDown(n, syscall.SIGTERM), nil
+	case bbrsoak.KindKill:
+		return f.strikeDown(n, syscall.SIGKILL), nil
+	case bbrsoak.KindKillAll:
+		return f.killAll(), nil
+	case bbrsoak.KindFreeze:
+		f.signal(n, syscall.SIGSTOP)
+		return func() error { f.signal(n, syscall.SIGCONT); return nil }, nil
+	case bbrsoak.KindReload:
+		f.signal(n, syscall.SIGHUP)
+	case bbrsoak.KindConfigure:
+		f.applyAside()
+	case bbrsoak.KindStoreCut:
+		return f.failStore(bbrstandinplatform.ModeHang, fmt.Sprintf("i%d", n+1))
+	case bbrsoak.KindStoreDown:
+		return f.failStore(bbrstandinplatform.ModeDown, "")
+	case bbrsoak.KindStoreSlow:
+		return f.failStore(bbrstandinplatform.ModeSlow, "")
+	case bbrsoak.KindStoreLost:
+		return f.failStore(bbrstandinplatform.ModeLoseReply, "")
+	case bbrsoak.KindDelay:
+		f.SetLag(f.group, soakLag)
+		return func() error { f.SetLag(f.group, f.shape.Lag); return nil }, nil
+	case bbrsoak.KindReset, bbrsoak.KindReplicaCut, bbrsoak.KindPrimaryCut:
+		return f.cut(fault), nil
+	}
+	return nil, nil
+}
+
+// cut resets the connections to a member, or silences the way to it. When a cut is
+// over the member drops the connections that went silent.
+func (f *SoakFleet) cut(fault bbrsoak.Fault) func() error {
+	members := f.Members(f.group)
+	m := members[fault.Target%len(members)]
+	if fault.Kind == bbrsoak.KindPrimaryCut {
+		p, err := f.Primary(f.group)
+		if err != nil {
+			return nil // nobody leads at the moment
+		}
+		m = p
+	}
+	if fault.Kind == bbrsoak.KindReset {
+		m.Link().Reset()
+		return nil
+	}
+	m.Link().Cut()
+	return func() error {
+		m.Link().Restore()
+		m.Link().Reset()
+		return nil
+	}
+}
+
+// failStore lets the store fail for all instances, or for the one of a name.
+func (f *SoakFleet) failStore(m bbrstandinplatform.Mode, client string) (func() error, error) {
+	fault := bbrstandinplatform.Fault{Service: bbrstandinplatform.ServiceTable, Mode: m, Client: client, DelayMs: 400}
+	if err := f.Fault(fault); err != nil {
+		return nil, err
+	}
+	fault.Mode = bbrstandinplatform.ModeNone
+	return func() error { return f.Fault(fault) }, nil
+}
+
+// applyAside applies the configuration once more. That it fails while instances are
+// away is no fault.
+func (f *SoakFleet) applyAside() {
+	f.ProcessFleet.group.Go(func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), applyPatience)
+		defer cancel()
+		_ = f.Apply(ctx, f.text)
+		return nil
+	})
+}
+
+func (f *SoakFleet) signal(n int, s syscall.Signal) {
+	c := f.instance(n)
+	select {
+	case <-c.done:
+	default:
+		_ = c.cmd.Process.Signal(s)
+	}
+}
+
+// strikeDown ends an instance's process by a signal. The function that it returns
+// waits for its end and starts another one, unless another fault has done so.
+func (f *SoakFleet) strikeDown(n int, s syscall.Signal) func() error {
+	c := f.instance(n)
+	f.signal(n, s)
+	return func() error {
+		select {
+		case <-c.done:
+		case <-time.After(stopPatience):
+			_ = c.cmd.Process.Kill()
+			<-c.done
+		}
+		if f.instance(n) != c {
+			return nil
+		}
+		return errors.Wrap(f.StartInstance(n), "start an instance again")
+	}
+}
+
+func (f *SoakFleet) killAll() func() error {
+	var again []func() error
+	for n := range f.shape.Instances {
+		again = append(again, f.strikeDown(n, syscall.SIGKILL))
+	}
+	return func() error {
+		for _, start := range again {
+			if err := start(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
