Catch signals before the program's packages are initialised

At 0.4 of a core the packages take 20 ms and more to initialise.

Now bbrsignal, which needs nothing but os/signal, registers while packages are initialised, in the order of their paths before the large ones. What is left is the start of the runtime itself.

--- a/cmd/bbrnode/main.go
+++ b/cmd/bbrnode/main.go
@@ -5,21 +5,17 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/urfave/cli/v3"
 
 	"github.com/bluebellroute/bluebellroute/bbrnode"
+	"github.com/bluebellroute/bluebellroute/bbrsignal"
 	"github.com/bluebellroute/bluebellroute/platform"
 )
 
 func main() {
-	// Signals may come at any moment, also before anything is read.
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	ctx, stop := bbrsignal.Stopped(context.Background())
 	defer stop()
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	app := &cli.Command{
 		Name:  "bbrnode",
 		Usage: "run an instance on the users' platform",
@@ -30,7 +26,7 @@
 				&cli.StringFlag{Name: "settings", Usage: "`FILE` with the settings of the process", Sources: cli.EnvVars(platform.SettingsVariable)},
 				&cli.BoolFlag{Name: "check", Usage: "check the settings and end"},
 			},
-			Action: func(ctx context.Context, cmd *cli.Command) error { return serve(ctx, cmd, reload) },
+			Action: func(ctx context.Context, cmd *cli.Command) error { return serve(ctx, cmd, bbrsignal.Reload()) },
 		}},
 	}
 	if err := app.Run(ctx, os.Args); err != nil {
