Keep the PostgreSQL program alive when its settings change

Now it checks the settings again and puts the log's level in force, like the program of the users' platform. TestReload fails without it.

--- a/bbrcommand/serve.go
+++ b/bbrcommand/serve.go
@@ -7,10 +7,12 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
 
 	"github.com/bluebellroute/bluebellroute/bbrkernel"
 	"github.com/bluebellroute/bluebellroute/bbrsettings"
+	"github.com/bluebellroute/bluebellroute/bbrsignal"
 )
 
 func serveCommand() *cli.Command {
@@ -18,7 +20,7 @@
 		Name:  "serve",
 		Usage: "run an instance until it is told to stop",
 		Description: "SIGTERM or an interrupt starts a planned stop: statements and transactions end first. " +
-			"A second one ends the process at once.",
+			"A second one ends the process at once. SIGHUP checks the settings again and puts the log's level in force.",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Required: true, Usage: "`FILE` with the settings of the process"},
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and end"},
@@ -27,6 +29,26 @@
 	}
 }
 
+// awaitStop waits until ctx ends. At each SIGHUP the settings are checked again and
+// the log's level is put in force; the others stay as they are for the life of the
+// process.
+func awaitStop(ctx context.Context, file string, log *logrus.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-bbrsignal.Reload():
+		}
+		s, problems := bbrsettings.Load(file)
+		if len(problems) > 0 {
+			log.WithError(problems[0]).WithField("problems", len(problems)).Error("reload refused; the settings stay as they are")
+			continue
+		}
+		log.SetLevel(s.LogLevel)
+		log.WithField("level", s.LogLevel).Info("reload")
+	}
+}
+
 func serve(ctx context.Context, cmd *cli.Command) error {
 	s, problems := bbrsettings.Load(cmd.String("settings"))
 	if len(problems) > 0 {
@@ -46,7 +68,7 @@
 		return failWith(ExitFailed, "%v", err)
 	}
 	_, _ = fmt.Fprintf(cmd.Root().Writer, "callers %s control %s\n", k.CallerAddress(), k.ControlAddress())
-	<-ctx.Done()
+	awaitStop(ctx, cmd.String("settings"), log)
 	// A second signal ends the drain.
 	again, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
--- a/bbrintegration/promise_test.go
+++ b/bbrintegration/promise_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/matryer/is"
@@ -322,3 +324,19 @@
 		return get(f.ctx, "http://"+old.process.Field("control")+"/state", &st)
 	})
 }
+
+// A SIGHUP does not end an instance: its settings are checked again.
+func TestReload(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, options{instances: 1})
+	f.makeTable()
+	p := f.instances[0].process
+	p.Signal(syscall.SIGHUP)
+	for end := time.Now().Add(deadline); !strings.Contains(p.Log(), "reload"); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("nothing was reloaded:\n%s", p.Log())
+		}
+	}
+	_, err := f.connect(0).Exec(f.ctx, "INSERT INTO orders (id, shop) VALUES (1, 1)")
+	is.NoErr(err)
+}
