--- a/bbrlink/prove.go
+++ b/bbrlink/prove.go
@@ -54,7 +54,7 @@
 // begun, else all members. It looks at the primary if its position is not known.
 func (g *Group) prove(ctx context.Context, p Primary, wait time.Duration) {
 	if wait > 0 {
-		pause(ctx, wait)
+		bbrtype.Sleep(ctx, wait)
 	}
 	if p.Member == "" {
 		return
@@ -94,16 +94,6 @@
 	}
 }
 
-// pause waits or returns early when ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // ProveTerm notes that the store had no change of primary when it was asked.
 func (g *Group) ProveTerm(term bbrtype.Term, sentAt bbrtype.Mono) {
 	g.mu.Lock()
--- a/bbrnode/change.go
+++ b/bbrnode/change.go
@@ -106,7 +106,7 @@
 	}
 	if choice.Term > c.old.Term {
 		// Older proofs of other instances have to run out first.
-		sleep(ctx, barrier.Add(bbrproof.Lease).Sub(c.node.clock.Now()))
+		bbrtype.Sleep(ctx, barrier.Add(bbrproof.Lease).Sub(c.node.clock.Now()))
 	}
 	return c.name(ctx, choice)
 }
@@ -195,7 +195,7 @@
 		why = choice.Why
 		c.term = max(c.term, bbrsuccession.HeldTerm(looks))
 		stepDown = c.node.clock.Now().Sub(c.began) > stepDownAfter && bbrsuccession.MayStepDown(question)
-		sleep(ctx, stepPause)
+		bbrtype.Sleep(ctx, stepPause)
 	}
 	return bbrsuccession.Choice{}, 0, errors.Errorf("the barrier was not reached: %s", why)
 }
@@ -236,7 +236,7 @@
 			choice.Term = look.Term
 			return nil
 		}
-		sleep(ctx, stepPause)
+		bbrtype.Sleep(ctx, stepPause)
 	}
 	return errors.New("the promoted member does not lead in time")
 }
@@ -250,7 +250,7 @@
 	err := c.write(ctx, record)
 	for err != nil && !errors.Is(err, bbrrows.ErrConflict) && ctx.Err() == nil {
 		c.log.WithError(err).Warn("the new primary is not named yet")
-		sleep(ctx, storePauseMost)
+		bbrtype.Sleep(ctx, storePauseMost)
 		err = c.write(ctx, record)
 	}
 	c.release(ctx, choice)
--- a/bbrnode/keeper.go
+++ b/bbrnode/keeper.go
@@ -55,7 +55,7 @@
 			}
 			n.look(ctx, g, t)
 		}
-		sleep(ctx, keepEvery)
+		bbrtype.Sleep(ctx, keepEvery)
 	}
 }
 
--- a/bbrnode/node.go
+++ b/bbrnode/node.go
@@ -281,7 +281,7 @@
 		if !entered {
 			wait = countSoon
 		}
-		sleep(ctx, wait)
+		bbrtype.Sleep(ctx, wait)
 	}
 }
 
--- a/bbrnode/peer.go
+++ b/bbrnode/peer.go
@@ -165,7 +165,7 @@
 // borrow asks other instances for what the store does not answer.
 func (n *Node) borrow(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, borrowEvery)
+		bbrtype.Sleep(ctx, borrowEvery)
 		v := n.lostVersions()
 		if len(v) == 0 {
 			continue
--- a/bbrnode/run.go
+++ b/bbrnode/run.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/bluebellroute/bluebellroute/bbrshare"
+	"github.com/bluebellroute/bluebellroute/bbrtype"
 )
 
 const (
@@ -80,7 +81,7 @@
 		}
 		if err != nil {
 			n.log.WithError(err).Warn("accept a caller")
-			sleep(ctx, acceptPause)
+			bbrtype.Sleep(ctx, acceptPause)
 			continue
 		}
 		n.ports.Watch(conn)
@@ -127,7 +128,7 @@
 	n.stopping = true
 	n.mu.Unlock()
 	n.aside(func() { n.unregister(ctx) })
-	sleep(ctx, min(rotationTime, n.settings.Grace/2))
+	bbrtype.Sleep(ctx, min(rotationTime, n.settings.Grace/2))
 	_ = callers.Close()
 	n.sessions.CloseIdle()
 	n.awaitSessions(ctx, n.settings.Grace/2-n.clock.Now().Sub(began))
@@ -140,6 +141,6 @@
 func (n *Node) awaitSessions(ctx context.Context, most time.Duration) {
 	until := n.clock.Now().Add(most)
 	for n.sessions.Sessions() > 0 && n.clock.Now() < until {
-		sleep(ctx, stopPoll)
+		bbrtype.Sleep(ctx, stopPoll)
 	}
 }
--- a/bbrnode/watch.go
+++ b/bbrnode/watch.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bluebellroute/bluebellroute/bbrrows"
+	"github.com/bluebellroute/bluebellroute/bbrtype"
 )
 
 const (
@@ -53,7 +54,7 @@
 		} else if !n.setLost(t.name, true) {
 			log.WithError(err).Warn("store lost")
 		}
-		sleep(ctx, pause)
+		bbrtype.Sleep(ctx, pause)
 		pause = min(2*pause, storePauseMost)
 	}
 }
@@ -122,13 +123,3 @@
 		n.refreshGroups()
 	}
 }
-
-// sleep waits or returns early when ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/bbrsoak/run.go
+++ b/bbrsoak/run.go
@@ -8,6 +8,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/bluebellroute/bluebellroute/bbrtype"
 )
 
 // Fleet is a fleet of processes that a plan strikes.
@@ -64,7 +66,7 @@
 		err = awaitService(ctx, fleet)
 	}
 	if err == nil {
-		sleep(ctx, calmAfter)
+		bbrtype.Sleep(ctx, calmAfter)
 	}
 	stop()
 	_ = work.Wait()
@@ -99,7 +101,7 @@
 func strike(ctx context.Context, fleet Fleet, p Plan) error {
 	began := time.Now()
 	for _, s := range steps(fleet, p) {
-		sleep(ctx, time.Until(began.Add(s.at)))
+		bbrtype.Sleep(ctx, time.Until(began.Add(s.at)))
 		if ctx.Err() != nil {
 			return errors.Wrap(ctx.Err(), "the soak was ended")
 		}
@@ -119,12 +121,3 @@
 	slices.SortStableFunc(out, func(a, b step) int { return cmp.Compare(a.at, b.at) })
 	return out
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/bbrtype/clock.go
+++ b/bbrtype/clock.go
@@ -17,7 +17,10 @@
 // #cgo nocallback bootNanos
 import "C"
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // Mono is a reading of a clock that never jumps and that runs on while the
 // machine is suspended: the time since an arbitrary start. Readings of two
@@ -54,3 +57,13 @@
 	}
 	return time.Duration(ns)
 }
+
+// Sleep waits or returns early when ctx ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
