Turn away at once while members refuse every connection

Now a statement is turned away at once when all members that are for it have refused each connection of this instance for 0.3 s and none is open (isShut; two cases of TestTurnedAway).

--- a/bbrplace/place.go
+++ b/bbrplace/place.go
@@ -95,8 +95,10 @@
 	refusals  int
 	// fulls counts the connections that it refused since its last answer, while none
 	// was open.
-	fulls    int
-	pausedTo bbrtype.Mono
+	fulls int
+	// refusingFrom is when the first of them was refused.
+	refusingFrom bbrtype.Mono
+	pausedTo     bbrtype.Mono
 	// ceiling bounds the statements at work until ceilingTo.
 	ceiling   int
 	ceilingTo bbrtype.Mono
@@ -153,15 +155,23 @@
 	return best
 }
 
-// canServe reports whether a member may serve a statement.
+// canServe reports whether a member may serve a statement now.
 func (s *seat) canServe(w *Want, now bbrtype.Mono) bool {
+	if w.Only == "" && !w.PrimaryOnly && now < s.pausedTo {
+		return false
+	}
+	return s.isFor(w, now)
+}
+
+// isFor reports whether a member may serve a statement, once it does not rest.
+func (s *seat) isFor(w *Want, now bbrtype.Mono) bool {
 	if w.Only != "" {
 		return s.ID == w.Only
 	}
 	if w.PrimaryOnly {
 		return s.Primary
 	}
-	if slices.Contains(w.Avoid, s.ID) || now < s.pausedTo {
+	if slices.Contains(w.Avoid, s.ID) {
 		return false
 	}
 	if s.Primary {
@@ -266,6 +276,9 @@
 	s.ceiling, s.ceilingTo = open, now.Add(fullPause)
 	if open == 0 {
 		pause := noConnectionPause << min(s.fulls, noConnectionDoublings)
+		if s.fulls == 0 {
+			s.refusingFrom = now
+		}
 		s.fulls++
 		s.ceilingTo = now.Add(pause)
 		s.pausedTo = now.Add(pause)
--- a/bbrplace/wait.go
+++ b/bbrplace/wait.go
@@ -186,7 +186,7 @@
 			w.queued = false
 			id := s.ID
 			d.tell = append(d.tell, func() { w.Granted(id) })
-		} else if late && w.TurnedAway != nil && d.board.leavesLate(&w.Want, d.now) {
+		} else if w.TurnedAway != nil && (late && d.board.leavesLate(&w.Want, d.now) || d.board.isShut(&w.Want, d.now)) {
 			w.queued = false
 			d.board.noteTurnedAway(&w.Want, d.now)
 			d.tell = append(d.tell, w.TurnedAway)
@@ -217,9 +217,28 @@
 	return now.Sub(b.lateServedAt) > lateIdle && b.isOverloaded(w, lateIdle, now)
 }
 
+// isShut reports whether every member that is for a statement has refused all
+// connections of this instance for a while. Other instances have some.
+func (b *Board) isShut(w *Want, now bbrtype.Mono) bool {
+	found := false
+	for _, s := range b.seats {
+		if !s.isFor(w, now) {
+			continue
+		}
+		if s.open > 0 || s.fulls == 0 || now.Sub(s.refusingFrom) < standing {
+			return false
+		}
+		found = true
+	}
+	return found
+}
+
 // isHopeless reports whether a new statement would not be served in time by
 // members that have had too much work for a while.
 func (b *Board) isHopeless(w *Waiter, now bbrtype.Mono) bool {
+	if b.isShut(&w.Want, now) {
+		return true
+	}
 	if w.Due == 0 || !b.isOverloaded(&w.Want, standing, now) {
 		return false
 	}
--- a/bbrplace/wait_test.go
+++ b/bbrplace/wait_test.go
@@ -69,6 +69,11 @@
 				put(b, start.Add(standing), due)
 			}
 		}, after: standing, want: true},
+		"the member refuses connections since a moment": {prepare: func(b *Board) { b.Full("p", 0, start) }, after: time.Millisecond},
+		"the member refuses connections for a while": {prepare: func(b *Board) {
+			b.Full("p", 0, start)
+			b.Full("p", 0, start.Add(standing-time.Millisecond))
+		}, after: standing, want: true},
 		"there is no primary": {prepare: func(b *Board) {
 			fill(b)
 			b.SetMember(Member{ID: "p", Limit: 2})
