Notice that another primary has followed the one to be replaced

All members that answered followed term 2, the old primary too; the new one did not answer. The change took the old primary for one that had stepped down, so that it showed all there is, and promoted it at once, without a single hold, while the primary of term 2 went on.

Now positions or terms beyond the old primary's show that it was overtaken. Then the unknown primary is one of those that do not hold: all others have to, the old primary too, less Sync - 1. The term of holds lies above each term that is followed.

Ruled out: waiting for the unknown primary to answer (without it the group would never get a primary again).

--- a/bbrnode/change.go
+++ b/bbrnode/change.go
@@ -31,6 +31,17 @@
 	changeTime = 8 * time.Second
 )
 
+// oldOrder is what the old primary is asked while the replicas are to hold.
+type oldOrder string
+
+// The orders.
+const (
+	orderLook     oldOrder = "look"
+	orderStepDown oldOrder = "stepDown"
+	// orderHold is for one that follows a newer primary.
+	orderHold oldOrder = "hold"
+)
+
 // change is a change of primary that this instance makes.
 type change struct {
 	node  *Node
@@ -180,9 +191,9 @@
 func (c *change) reachBarrier(ctx context.Context) (bbrsuccession.Choice, bbrtype.Mono, error) {
 	c.term = c.old.Term + 1
 	var why string
-	stepDown := false
+	asOld := orderLook
 	for c.inTime(ctx) {
-		looks := c.hold(ctx, stepDown)
+		looks := c.hold(ctx, asOld)
 		question := bbrsuccession.Question{
 			Members: looks, Old: c.old.Member, OldTerm: c.old.Term, Term: c.term, Welcome: c.welcome,
 			Sync: c.group.Service().SyncReplicas, Acked: c.group.Acked(),
@@ -193,21 +204,32 @@
 			return choice, c.node.clock.Now(), nil
 		}
 		why = choice.Why
-		c.term = max(c.term, bbrsuccession.HeldTerm(looks))
-		stepDown = c.node.clock.Now().Sub(c.began) > stepDownAfter && bbrsuccession.MayStepDown(question)
+		c.term = max(c.term, bbrsuccession.HoldTerm(looks, c.old.Member))
+		asOld = c.orderToOld(question)
 		bbrtype.Sleep(ctx, stepPause)
 	}
 	return bbrsuccession.Choice{}, 0, errors.Errorf("the barrier was not reached: %s", why)
 }
 
+// orderToOld tells what the old primary is asked next.
+func (c *change) orderToOld(q bbrsuccession.Question) oldOrder {
+	switch {
+	case bbrsuccession.IsOvertaken(q.Members, q.Old, q.OldTerm):
+		return orderHold
+	case c.node.clock.Now().Sub(c.began) > stepDownAfter && bbrsuccession.MayStepDown(q):
+		return orderStepDown
+	}
+	return orderLook
+}
+
 // hold asks every replica to hold replication and returns what they told.
-func (c *change) hold(ctx context.Context, stepDown bool) []bbrsuccession.Candidate {
+func (c *change) hold(ctx context.Context, asOld oldOrder) []bbrsuccession.Candidate {
 	before := c.group.MayBeAtWork()
 	out := c.node.ask(ctx, c.group, c.old.Member, func(ctx context.Context, id bbrtype.MemberName) (bbrmessage.Look, error) {
 		switch {
-		case id != c.old.Member:
+		case id != c.old.Member || asOld == orderHold:
 			return c.group.Hold(ctx, id, c.term)
-		case stepDown:
+		case asOld == orderStepDown:
 			return c.group.StepDown(ctx, id, c.term)
 		}
 		return c.group.LookAt(ctx, id)
--- a/bbrsuccession/succession.go
+++ b/bbrsuccession/succession.go
@@ -232,6 +232,9 @@
 	if c, ok := leader(q); ok {
 		return c
 	}
+	if IsOvertaken(q.Members, q.Old, q.OldTerm) {
+		return chooseAfterUnknown(q)
+	}
 	var held []Candidate
 	var stepped *Candidate
 	missing := 0
@@ -265,6 +268,42 @@
 	return Choice{Decision: DecisionPromote, Member: best.ID, Term: q.Term}
 }
 
+// IsOvertaken reports whether members show that another primary has followed the
+// old one. What the old one has then shows nothing.
+func IsOvertaken(members []Candidate, old bbrtype.MemberName, oldTerm bbrtype.Term) bool {
+	for _, m := range members {
+		if !m.Answered {
+			continue
+		}
+		// An old primary that stepped down may tell the term of the order to do so.
+		if m.Look.Received.Term > oldTerm || m.ID != old && m.Look.Term > oldTerm {
+			return true
+		}
+	}
+	return false
+}
+
+// chooseAfterUnknown replaces a newer primary that does not answer. It is one of
+// the members that do not hold, so all others have to, the old primary too, less
+// Sync - 1 of them.
+func chooseAfterUnknown(q Question) Choice {
+	var held []Candidate
+	for _, m := range q.Members {
+		if m.Answered && m.Look.Held >= q.Term {
+			held = append(held, m)
+		}
+	}
+	missing := len(q.Members) - len(held)
+	best, ok := highest(held)
+	switch {
+	case !ok || missing > max(q.Sync-1, 0)+1:
+		return Choice{Decision: DecisionWait, Why: "a newer primary does not answer, nor do all others hold"}
+	case best.Look.Received.IsBefore(q.Acked):
+		return Choice{Decision: DecisionWait, Why: "no member that answers has all acknowledged commits"}
+	}
+	return Choice{Decision: DecisionPromote, Member: best.ID, Term: q.Term}
+}
+
 // leader returns a member that leads a newer term already, or the same term under
 // another name: a primary that crashed and came back with its log.
 func leader(q Question) (Choice, bool) {
@@ -312,13 +351,17 @@
 	}), true
 }
 
-// HeldTerm returns the newest term that a member holds or belongs to. A change has
-// to hold under it at least.
-func HeldTerm(members []Candidate) bbrtype.Term {
+// HoldTerm returns the term under which a change has to hold: above each term that
+// a member follows, and not below one under which a member holds.
+func HoldTerm(members []Candidate, old bbrtype.MemberName) bbrtype.Term {
 	t := bbrtype.Term(0)
 	for _, m := range members {
-		if m.Answered {
-			t = max(t, m.Look.Term, m.Look.Held)
+		if !m.Answered {
+			continue
+		}
+		t = max(t, m.Look.Held, m.Look.Received.Term+1)
+		if m.ID != old {
+			t = max(t, m.Look.Term+1)
 		}
 	}
 	return t
--- a/bbrsuccession/succession_test.go
+++ b/bbrsuccession/succession_test.go
@@ -20,6 +20,13 @@
 	return Candidate{ID: id, Answered: true, Look: bbrmessage.Look{Role: bbrmessage.RolePrimary, Term: term, Received: at(n)}}
 }
 
+// following is a replica of a primary of a newer term.
+func following(id bbrtype.MemberName, n uint64, held bbrtype.Term) Candidate {
+	c := holding(id, n, held)
+	c.Look.Term, c.Look.Received.Term = 2, 2
+	return c
+}
+
 func silent(id bbrtype.MemberName) Candidate { return Candidate{ID: id} }
 
 func draining(c Candidate) Candidate {
@@ -117,6 +124,56 @@
 	}
 }
 
+// TestOvertaken replays a change whose primary had been replaced already, by a
+// change that this instance does not know the end of: the newer primary does not
+// answer and goes on acknowledging, and the old one, now a replica of it, does not
+// show all that there is.
+func TestOvertaken(t *testing.T) {
+	tests := map[string]struct {
+		members []Candidate
+		sync    int
+		want    Decision
+		member  bbrtype.MemberName
+	}{
+		"the replicas of a newer primary do not hold": {
+			members: []Candidate{following("old", 752, 0), following("r1", 752, 0), following("r2", 752, 0), silent("new")}, sync: 1,
+			want: DecisionWait,
+		},
+		"the old one alone does not hold": {
+			members: []Candidate{following("old", 752, 0), following("r1", 752, 3), following("r2", 752, 3), silent("new")}, sync: 1,
+			want: DecisionWait,
+		},
+		"only the old one answers": {
+			members: []Candidate{following("old", 752, 0), silent("r1"), silent("new")}, sync: 1,
+			want: DecisionWait,
+		},
+		"a replica is silent too": {
+			members: []Candidate{following("old", 752, 3), following("r1", 752, 3), silent("r2"), silent("new")}, sync: 1,
+			want: DecisionWait,
+		},
+		"all but the newer primary hold": {
+			members: []Candidate{following("old", 751, 3), following("r1", 752, 3), following("r2", 750, 3), silent("new")}, sync: 1,
+			want: DecisionPromote, member: "r1",
+		},
+		"nothing waits for replicas": {
+			members: []Candidate{following("old", 752, 3), following("r1", 752, 3), silent("new")},
+			want:    DecisionPromote, member: "old",
+		},
+		"the newer primary answers": {
+			members: []Candidate{following("old", 752, 0), following("r1", 752, 0), leading("new", 752, 2)}, sync: 1,
+			want: DecisionAdopt, member: "new",
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := Choose(Question{Members: tt.members, Old: "old", OldTerm: 1, Term: 3, Sync: tt.sync})
+			is.Equal(c.Decision, tt.want)
+			is.Equal(c.Member, tt.member)
+		})
+	}
+}
+
 func TestMayClaim(t *testing.T) {
 	now := bbrtype.Mono(time.Hour)
 	tests := map[string]struct {
