Leave replicas held when a change ends without knowing how

Now a change lets replicas receive only while its claim counts, or when it has named the new primary. After a promotion that may still take effect the claim and the holds stay for the next change. Ruled out: shorter claims (the change that ended late had no claim at all any more).

--- a/bbrnode/change.go
+++ b/bbrnode/change.go
@@ -42,6 +42,9 @@
 	orderHold oldOrder = "hold"
 )
 
+// errUndecided means that a promotion was ordered and may still take effect.
+var errUndecided = errors.New("the promoted member does not lead in time")
+
 // change is a change of primary that this instance makes.
 type change struct {
 	node  *Node
@@ -111,7 +114,11 @@
 	}
 	if choice.Decision == bbrsuccession.DecisionPromote {
 		if err := c.promote(ctx, &choice, record.Fence); err != nil {
-			c.giveUp(ctx)
+			if !errors.Is(err, errUndecided) {
+				c.giveUp(ctx)
+			}
+			// Otherwise the claim and the holds stay for the next change: whatever
+			// counted for the old primary now could be lost.
 			return err
 		}
 	}
@@ -136,6 +143,12 @@
 			c.log.WithError(err).Warn("the claim could not be renewed")
 		}
 	}
+	return c.counts()
+}
+
+// counts reports whether the claim has not run out. Another instance may act on one
+// of its own after that.
+func (c *change) counts() bool {
 	return c.node.clock.Now().Sub(c.claimed) < bbrsuccession.ClaimTime
 }
 
@@ -241,17 +254,21 @@
 func (c *change) promote(ctx context.Context, choice *bbrsuccession.Choice, fence bbrsuccession.Fence) error {
 	order := bbrsuccession.Order{Group: c.group.Name(), Member: choice.Member, Fence: fence}
 	var ordered bbrtype.Mono
+	undecided := false
 	for c.inTime(ctx) {
 		if now := c.node.clock.Now(); ordered == 0 || now.Sub(ordered) > promoteAgain {
 			err := c.node.ports.Promoter.Promote(ctx, order)
-			if errors.Is(err, bbrsuccession.ErrRefused) {
+			switch {
+			case errors.Is(err, bbrsuccession.ErrRefused) && !undecided:
 				return err
-			}
-			if err != nil {
+			case errors.Is(err, bbrsuccession.ErrRefused):
+				return errUndecided
+			case err != nil:
 				c.log.WithError(err).Warn("promotion unanswered")
-			} else {
+			default:
 				ordered = now
 			}
+			undecided = true
 		}
 		look, err := c.group.LookAt(ctx, choice.Member)
 		if err == nil && look.Role == bbrmessage.RolePrimary && look.Term > c.old.Term {
@@ -260,7 +277,10 @@
 		}
 		bbrtype.Sleep(ctx, stepPause)
 	}
-	return errors.New("the promoted member does not lead in time")
+	if undecided {
+		return errUndecided
+	}
+	return errors.New("the claim ran out before the promotion was ordered")
 }
 
 // name enters the new primary in the record and tidies up.
@@ -275,8 +295,12 @@
 		bbrtype.Sleep(ctx, storePauseMost)
 		err = c.write(ctx, record)
 	}
+	if err != nil {
+		// Another change may have begun, and what it holds stays held.
+		return errors.Wrap(err, "name the new primary")
+	}
 	c.release(ctx, choice)
-	return errors.Wrap(err, "name the new primary")
+	return nil
 }
 
 // release lets the replicas receive again and tells the old primary to follow.
@@ -292,8 +316,12 @@
 	})
 }
 
-// giveUp undoes what a change has done so far.
+// giveUp undoes what a change has done so far, while its claim counts. After that
+// another change may need the holds.
 func (c *change) giveUp(ctx context.Context) {
+	if !c.counts() {
+		return
+	}
 	c.node.ask(ctx, c.group, c.old.Member, func(ctx context.Context, id bbrtype.MemberName) (bbrmessage.Look, error) {
 		if id == c.old.Member {
 			return bbrmessage.Look{}, nil
