Strike the processes of both soak fleets by one piece of code

Cause: what ends a process by a signal, waits for its end and starts another one unless an overlapping fault has done so stood in platform/trial and in bbrtrial, as did the memory of what ends each fault. It was in no test of its own: a mistake there showed as a fleet without service.

Now bbrsoak has Strikes, StrikeDown and Freeze, both fleets use them, and tests with real processes let two faults strike one process and kill a stubborn one. The two test packages that build the program share bbrtesthelpers.MainWith. The least pace and the moment long ago are named constants.

--- a/bbrnode/keeper.go
+++ b/bbrnode/keeper.go
@@ -145,11 +145,14 @@
 	}
 }
 
+// beforeAll stands for a moment long ago.
+const beforeAll bbrtype.Mono = 1
+
 // mayBeDue reports whether the primary is to be replaced, should a successor
 // answer.
 func (n *Node) mayBeDue(g *bbrlink.Group, p bbrlink.Primary) bool {
 	s := n.situation(g, p)
-	s.Successor, s.Ahead, s.WatchedFrom = true, true, 1
+	s.Successor, s.Ahead, s.WatchedFrom = true, true, beforeAll
 	_, due := bbrsuccession.Due(s, n.clock.Now())
 	return due
 }
--- a/bbrplace/pace.go
+++ b/bbrplace/pace.go
@@ -16,6 +16,8 @@
 	// quickWeight is the weight of an answer that is slower in the time of quick
 	// ones.
 	quickWeight = 0.0005
+	// leastPace is the number that is sent however slow the answers are.
+	leastPace = 1
 	// paceEvery is how often the pace is lowered or brought back.
 	paceEvery = 100 * time.Millisecond
 	// lowered is what stays of the pace each time that a member is crowded.
@@ -29,15 +31,14 @@
 // fewer while answers are slow, and more for each statement that it has to turn
 // away, so that the places go where the callers are.
 type pace struct {
-	least, usual, most float64
-	allowed            float64
-	quick              time.Duration
-	changedAt          bbrtype.Mono
+	usual, most float64
+	allowed     float64
+	quick       time.Duration
+	changedAt   bbrtype.Mono
 }
 
 // reset begins with the usual number.
 func (p *pace) reset(m Member) {
-	p.least = 1
 	p.usual = float64(max(1, m.Limit))
 	p.most = float64(max(1, m.Limit, m.Most))
 	p.allowed = p.usual
@@ -62,7 +63,7 @@
 	slow := float64(answer) / float64(p.quick)
 	switch {
 	case slow > crowdedFactor:
-		p.allowed = max(p.least, p.allowed*lowered)
+		p.allowed = max(leastPace, p.allowed*lowered)
 	case slow < calmFactor && p.allowed < p.usual:
 		p.allowed = min(p.usual, p.allowed+1)
 	case slow < calmFactor && p.allowed > p.usual:
--- a/bbrtesthelpers/main.go
+++ b/bbrtesthelpers/main.go
@@ -8,6 +8,8 @@
 import (
 	"flag"
 	"os"
+	"os/exec"
+	"path/filepath"
 	"testing"
 
 	// The import registers rapid's flags.
@@ -18,6 +20,22 @@
 // to the same verdict. A seed given on the command line wins.
 var rapidFlags = map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"}
 
+// MainWith builds a program and runs a package's tests, which start it from the path
+// that program is set to.
+func MainWith(m *testing.M, pkg string, program *string) {
+	dir, err := os.MkdirTemp("", "bbrtests")
+	if err != nil {
+		panic(err)
+	}
+	*program = filepath.Join(dir, filepath.Base(pkg))
+	if out, err := exec.Command("go", "build", "-o", *program, pkg).CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
 // Main runs a package's tests with fixed seeds.
 func Main(m *testing.M) {
 	flag.Parse()
--- a/bbrtrial/soak.go
+++ b/bbrtrial/soak.go
@@ -37,10 +37,10 @@
 // SoakFleet lets a plan of faults strike a fleet of the PostgreSQL programs.
 type SoakFleet struct {
 	*ProcessFleet
-	work   *Workload
-	began  time.Time
-	group  bbrtype.GroupName
-	struck map[bbrsoak.Fault]func() error
+	work    *Workload
+	began   time.Time
+	group   bbrtype.GroupName
+	strikes bbrsoak.Strikes
 }
 
 var _ bbrsoak.Fleet = (*SoakFleet)(nil)
@@ -61,7 +61,7 @@
 		fleet.Close()
 		return nil, err
 	}
-	return &SoakFleet{ProcessFleet: fleet, work: w, began: time.Now(), group: s.Groups[0], struck: map[bbrsoak.Fault]func() error{}}, nil
+	return &SoakFleet{ProcessFleet: fleet, work: w, began: time.Now(), group: s.Groups[0]}, nil
 }
 
 // Work implements bbrsoak.Fleet.
@@ -85,40 +85,27 @@
 }
 
 // Begin implements bbrsoak.Fleet.
-func (f *SoakFleet) Begin(fault bbrsoak.Fault) error {
-	end, err := f.begin(fault)
-	if end != nil {
-		f.struck[fault] = end
-	}
-	return err
-}
+func (f *SoakFleet) Begin(fault bbrsoak.Fault) error { return f.strikes.Begin(fault, f.begin) }
 
 // End implements bbrsoak.Fleet.
-func (f *SoakFleet) End(fault bbrsoak.Fault) error {
-	end := f.struck[fault]
-	delete(f.struck, fault)
-	if end == nil {
-		return nil
-	}
-	return end()
-}
+func (f *SoakFleet) End(fault bbrsoak.Fault) error { return f.strikes.End(fault) }
 
 // begin lets a fault begin and returns what ends it, nil if nothing does. Members of
 // this dialect do not leave by themselves.
 func (f *SoakFleet) begin(fault bbrsoak.Fault) (func() error, error) {
 	n := fault.Target % f.shape.Instances
+	i := soakInstance{f.ProcessFleet, n}
 	switch fault.Kind {
 	case bbrsoak.KindStop:
-		return f.strikeDown(n, syscall.SIGTERM), nil
+		return bbrsoak.StrikeDown(syscall.SIGTERM, stopPatience, i), nil
 	case bbrsoak.KindKill:
-		return f.strikeDown(n, syscall.SIGKILL), nil
+		return bbrsoak.StrikeDown(syscall.SIGKILL, stopPatience, i), nil
 	case bbrsoak.KindKillAll:
-		return f.killAll(), nil
+		return bbrsoak.StrikeDown(syscall.SIGKILL, stopPatience, f.all()...), nil
 	case bbrsoak.KindFreeze:
-		f.signal(n, syscall.SIGSTOP)
-		return func() error { f.signal(n, syscall.SIGCONT); return nil }, nil
+		return bbrsoak.Freeze(i), nil
 	case bbrsoak.KindReload:
-		f.signal(n, syscall.SIGHUP)
+		i.Process().Signal(syscall.SIGHUP)
 	case bbrsoak.KindConfigure:
 		f.applyAside()
 	case bbrsoak.KindStoreCut:
@@ -183,45 +170,28 @@
 	})
 }
 
-func (f *SoakFleet) signal(n int, s syscall.Signal) {
-	c := f.instance(n)
-	select {
-	case <-c.done:
-	default:
-		_ = c.cmd.Process.Signal(s)
-	}
+// soakInstance is an instance of a fleet.
+type soakInstance struct {
+	fleet *ProcessFleet
+	n     int
 }
 
-// strikeDown ends an instance's process by a signal. The function that it returns
-// waits for its end and starts another one, unless another fault has done so.
-func (f *SoakFleet) strikeDown(n int, s syscall.Signal) func() error {
-	c := f.instance(n)
-	f.signal(n, s)
-	return func() error {
-		select {
-		case <-c.done:
-		case <-time.After(stopPatience):
-			_ = c.cmd.Process.Kill()
-			<-c.done
-		}
-		if f.instance(n) != c {
-			return nil
-		}
-		return errors.Wrap(f.StartInstance(n), "start an instance again")
-	}
+// Process implements bbrsoak.Instance.
+func (i soakInstance) Process() bbrsoak.Process {
+	c := i.fleet.instance(i.n)
+	return bbrsoak.Process{Cmd: c.cmd, Done: c.done}
 }
 
-func (f *SoakFleet) killAll() func() error {
-	var again []func() error
-	for n := range f.shape.Instances {
-		again = append(again, f.strikeDown(n, syscall.SIGKILL))
-	}
-	return func() error {
-		for _, start := range again {
-			if err := start(); err != nil {
-				return err
-			}
-		}
-		return nil
+// Start implements bbrsoak.Instance.
+func (i soakInstance) Start() error {
+	return errors.Wrap(i.fleet.StartInstance(i.n), "start an instance again")
+}
+
+// all returns all instances.
+func (f *SoakFleet) all() []bbrsoak.Instance {
+	out := make([]bbrsoak.Instance, f.shape.Instances)
+	for n := range out {
+		out[n] = soakInstance{f.ProcessFleet, n}
 	}
+	return out
 }
