Log the store's era, whole reads and rows that are ignored

Why: the logs could not tell whether a configuration that is not in force never came, came as a row that was not newer, or came with a version that was not newer.

Versions of the store carry the era of the reply they came with (bbrrows.Version); nothing decides by it yet, they are compared by their number as before.

--- a/bbrnode/change.go
+++ b/bbrnode/change.go
@@ -190,7 +190,7 @@
 	row := bbrrows.RowKey{Table: groupTable, Key: string(c.group.Name())}
 	sentAt := c.node.clock.Now()
 	version, err := c.node.platform.Store.Write(ctx, bbrrows.ConditionalWrite{
-		ExpectedVersions: map[bbrrows.RowKey]int64{row: c.known.Version},
+		ExpectedVersions: map[bbrrows.RowKey]bbrrows.Version{row: c.known.Version},
 		Set:              map[bbrrows.RowKey][]byte{row: value},
 	})
 	if err != nil {
@@ -209,13 +209,13 @@
 // readBackRecord reads the record to find out whether a write without a reply took
 // effect. It returns the version written, or cause if the record differs or cannot
 // be read.
-func (c *primaryChange) readBackRecord(ctx context.Context, want bbrsuccession.Record, cause error) (int64, error) {
+func (c *primaryChange) readBackRecord(ctx context.Context, want bbrsuccession.Record, cause error) (bbrrows.Version, error) {
 	if errors.Is(cause, bbrrows.ErrRejected) {
-		return 0, cause
+		return bbrrows.Version{}, cause
 	}
 	rows, _, err := c.node.platform.Store.Read(ctx, groupTable)
 	if err != nil {
-		return 0, cause
+		return bbrrows.Version{}, cause
 	}
 	for _, r := range rows {
 		if r.Key != string(c.group.Name()) {
@@ -227,7 +227,7 @@
 		}
 		c.node.applyRows([]bbrrows.Row{r})
 	}
-	return 0, cause
+	return bbrrows.Version{}, cause
 }
 
 // reachBarrier pauses replication until the old primary cannot get any further
--- a/bbrnode/change_test.go
+++ b/bbrnode/change_test.go
@@ -89,21 +89,21 @@
 	version    int64
 }
 
-func (f *fakeStore) Write(_ context.Context, c bbrrows.ConditionalWrite) (int64, error) {
+func (f *fakeStore) Write(_ context.Context, c bbrrows.ConditionalWrite) (bbrrows.Version, error) {
 	var r bbrsuccession.Record
 	for _, v := range c.Set {
 		_ = json.Unmarshal(v, &r)
 	}
 	if err := f.writeErr(r); err != nil {
-		return 0, err
+		return bbrrows.Version{}, err
 	}
 	f.version++
 	f.lastRecord = r
-	return f.version, nil
+	return bbrrows.Version{Number: f.version}, nil
 }
 
-func (f *fakeStore) Read(context.Context, string) ([]bbrrows.Row, int64, error) {
-	return nil, 0, errors.New("the store is unavailable")
+func (f *fakeStore) Read(context.Context, string) ([]bbrrows.Row, bbrrows.Version, error) {
+	return nil, bbrrows.Version{}, errors.New("the store is unavailable")
 }
 
 type fakePromoter func() error
--- /dev/null
+++ b/bbrnode/era.go
@@ -0,0 +1,39 @@
+package bbrnode
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"github.com/bluebellroute/bluebellroute/bbrrows"
+)
+
+// versionFields are the log fields of a version of the store.
+func versionFields(v bbrrows.Version) logrus.Fields {
+	return logrus.Fields{"version": v.Number, "era": v.Era}
+}
+
+// currentEra returns the newest era of the store that this instance has seen.
+func (n *Node) currentEra() bbrrows.Era {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.storeEra
+}
+
+// recordEra records the era in a reply of the store.
+func (n *Node) recordEra(era bbrrows.Era) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if era <= n.storeEra {
+		return
+	}
+	n.log.WithFields(logrus.Fields{"era": era, "before": n.storeEra}).Warn("the store was restored, or this instance has just started")
+	n.storeEra = era
+}
+
+// logIgnored logs rows that are not newer than the known ones but differ from them.
+// n.mu must be held.
+func (n *Node) logIgnored(rows []bbrrows.Row) {
+	for _, r := range n.mirror.Ignored(rows) {
+		n.metrics.ignoredRows.WithLabelValues(r.Table).Inc()
+		n.log.WithFields(versionFields(r.Version)).WithFields(logrus.Fields{"table": r.Table, "key": r.Key}).Info("row ignored: it is not newer than the known one")
+	}
+}
--- a/bbrnode/metric.go
+++ b/bbrnode/metric.go
@@ -28,6 +28,9 @@
 type metrics struct {
 	registry   *prometheus.Registry
 	statements *prometheus.HistogramVec
+	// ignoredRows counts the rows that were not newer than the known ones, but
+	// differed from them.
+	ignoredRows *prometheus.CounterVec
 
 	mu     sync.Mutex
 	routes map[bbrtype.RouteName]bool
@@ -40,8 +43,11 @@
 		statements: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "bbr_node_statement_seconds", Help: "Time from the arrival of a statement to its answer.", Buckets: statementBuckets,
 		}, []string{"route", "policy", "outcome"}),
+		ignoredRows: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bbr_node_rows_ignored_total", Help: "Rows that differed from the known ones but were not newer.",
+		}, []string{"table"}),
 	}
-	m.registry.MustRegister(m.statements)
+	m.registry.MustRegister(m.statements, m.ignoredRows)
 	return m
 }
 
--- a/bbrnode/node.go
+++ b/bbrnode/node.go
@@ -118,7 +118,9 @@
 	// undecodableMembers holds the members whose entries could not be decoded, so
 	// that each is logged only once. The value is the version of the first such
 	// entry.
-	undecodableMembers map[string]int64
+	undecodableMembers map[string]bbrrows.Version
+	// storeEra is the newest era of the store that this instance has seen.
+	storeEra bbrrows.Era
 	// changing holds the groups whose primary this instance is changing.
 	changing map[bbrtype.GroupName]bool
 	progress map[bbrtype.GroupName]replicationProgress
@@ -134,7 +136,7 @@
 		unavailable:           map[string]bool{},
 		delegateExcludedUntil: map[string]bbrtype.Mono{},
 		peerClient:            bbrshare.NewClient(p.PeerTransport),
-		undecodableMembers:    map[string]int64{},
+		undecodableMembers:    map[string]bbrrows.Version{},
 		changing:              map[bbrtype.GroupName]bool{},
 		progress:              map[bbrtype.GroupName]replicationProgress{},
 	}
@@ -187,9 +189,12 @@
 		n.log.WithError(err).Error("cannot decode the configuration; the current one stays in force")
 		return
 	}
+	log := n.log.WithFields(logrus.Fields{"version": c.Version, "routes": len(c.Routes), "rowVersion": r.Version.Number, "era": r.Version.Era})
 	if n.catalog.PublishIfNewer(c) {
-		n.log.WithFields(logrus.Fields{"version": c.Version, "routes": len(c.Routes)}).Info("configuration in force")
+		log.Info("configuration in force")
+		return
 	}
+	log.WithField("inForce", n.catalog.Current().Version).Info("the configuration is not newer than the one in force")
 }
 
 // applyMember applies a change of a member's entry. n.mu must be held.
@@ -199,9 +204,14 @@
 		n.directory.MarkMissing(bbrtype.MemberName(r.Key), n.clock.Now())
 		return
 	}
-	if m, ok := n.decodeMember(r); ok {
-		n.directory.Put(m)
+	m, ok := n.decodeMember(r)
+	if !ok {
+		return
+	}
+	if m.Draining {
+		n.log.WithFields(versionFields(r.Version)).WithField("member", m.ID).Info("member draining")
 	}
+	n.directory.Put(m)
 }
 
 // decodeMember decodes a member's entry. An entry that cannot be decoded is skipped,
@@ -257,8 +267,8 @@
 
 // setRecord replaces this instance's copy of a group's record if the given one is
 // newer, and uses its primary if that has a newer term. n.mu must be held.
-func (n *Node) setRecord(name bbrtype.GroupName, record bbrsuccession.Record, version int64) {
-	if old := n.records[name]; old.Version >= version {
+func (n *Node) setRecord(name bbrtype.GroupName, record bbrsuccession.Record, version bbrrows.Version) {
+	if old := n.records[name]; !version.IsNewerThan(old.Version) {
 		return
 	}
 	n.records[name] = bbrsuccession.VersionedRecord{Record: record, Version: version, FirstReadAt: n.clock.Now()}
--- a/bbrnode/watch.go
+++ b/bbrnode/watch.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/bluebellroute/bluebellroute/bbrrows"
 	"github.com/bluebellroute/bluebellroute/bbrtype"
@@ -36,15 +37,15 @@
 
 // followTable reads a table and then applies its changes until ctx ends.
 func (n *Node) followTable(ctx context.Context, t followedTable) {
-	version := int64(-1)
+	var cursor *bbrrows.Version
 	pause := minStoreBackoff
 	log := n.log.WithField("table", t.name)
 	for ctx.Err() == nil {
-		next, err := n.readTable(ctx, t, version)
-		version = next
+		next, err := n.readTable(ctx, t, cursor)
 		if err == nil {
+			cursor = &next
 			if n.setUnavailable(t.name, false) {
-				log.WithField("version", version).Info("store regained")
+				log.WithFields(versionFields(next)).Info("store regained")
 			}
 			pause = minStoreBackoff
 			continue
@@ -52,9 +53,9 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if errors.Is(err, bbrrows.ErrCompacted) {
-			log.WithField("version", version).Info("the store no longer has the changes after this version; reading the whole table")
-			version = -1
+		if errors.Is(err, bbrrows.ErrCompacted) && cursor != nil {
+			log.WithFields(versionFields(*cursor)).Info("the store no longer has the changes after this version; reading the whole table")
+			cursor = nil
 		} else if !n.setUnavailable(t.name, true) {
 			log.WithError(err).Warn("store lost")
 		}
@@ -63,23 +64,27 @@
 	}
 }
 
-// readTable reads the whole table if version is negative, and otherwise waits for
-// changes after version. It returns the version to continue from.
-func (n *Node) readTable(ctx context.Context, t followedTable, version int64) (int64, error) {
-	if version < 0 {
-		rows, v, err := n.platform.Store.Read(ctx, t.name)
-		if err != nil {
-			return version, err
+// readTable reads the whole table if cursor is nil, and otherwise waits for changes
+// after cursor. It returns the version to continue from.
+func (n *Node) readTable(ctx context.Context, t followedTable, cursor *bbrrows.Version) (bbrrows.Version, error) {
+	if cursor == nil {
+		rows, version, err := n.platform.Store.Read(ctx, t.name)
+		if err == nil {
+			n.log.WithFields(versionFields(version)).WithFields(logrus.Fields{"table": t.name, "rows": len(rows)}).Info("whole table read")
+			n.applyTable(t.name, rows, version)
 		}
-		n.applyTable(t.name, rows, v)
-		return v, nil
+		return version, err
 	}
-	batch, err := n.platform.Store.Watch(ctx, t.name, version, t.pollTimeout)
+	batch, err := n.platform.Store.Watch(ctx, t.name, *cursor, t.pollTimeout)
 	if err != nil {
-		return version, err
+		return *cursor, err
 	}
+	n.recordEra(batch.NextVersion.Era)
 	n.applyRows(batch.Rows)
-	return max(batch.NextVersion, version), nil
+	if cursor.IsNewerThan(batch.NextVersion) {
+		return *cursor, nil
+	}
+	return batch.NextVersion, nil
 }
 
 // setUnavailable records whether reads of a table from the store fail, and returns
@@ -98,9 +103,11 @@
 }
 
 // applyTable applies a read of a whole table.
-func (n *Node) applyTable(table string, rows []bbrrows.Row, version int64) {
+func (n *Node) applyTable(table string, rows []bbrrows.Row, version bbrrows.Version) {
+	n.recordEra(version.Era)
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.logIgnored(rows)
 	n.applyChanged(n.mirror.ApplySnapshot(table, rows, version))
 	n.loaded[table] = true
 }
@@ -110,6 +117,7 @@
 func (n *Node) applyRows(rows []bbrrows.Row) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.logIgnored(rows)
 	n.applyChanged(n.mirror.Apply(rows))
 }
 
--- a/bbrrows/mirror.go
+++ b/bbrrows/mirror.go
@@ -6,7 +6,19 @@
 type Mirror struct {
 	tables map[string]map[string]Row
 	// maxVersions holds the highest row version of each table.
-	maxVersions map[string]int64
+	maxVersions map[string]Version
+}
+
+// Ignored returns the rows that Apply would ignore although they differ from the stored
+// ones: rows of another version that is not newer.
+func (m *Mirror) Ignored(rows []Row) []Row {
+	var out []Row
+	for _, r := range rows {
+		if old, ok := m.tables[r.Table][r.Key]; ok && r.Version != old.Version && !r.Version.IsNewerThan(old.Version) {
+			out = append(out, r)
+		}
+	}
+	return out
 }
 
 // Apply stores each row that is newer than the stored version of it, and returns the
@@ -26,32 +38,34 @@
 func (m *Mirror) putIfNewer(r Row) bool {
 	if m.tables == nil {
 		m.tables = map[string]map[string]Row{}
-		m.maxVersions = map[string]int64{}
+		m.maxVersions = map[string]Version{}
 	}
 	t := m.tables[r.Table]
 	if t == nil {
 		t = map[string]Row{}
 		m.tables[r.Table] = t
 	}
-	if old, ok := t[r.Key]; ok && old.Version >= r.Version {
+	if old, ok := t[r.Key]; ok && !r.Version.IsNewerThan(old.Version) {
 		return false
 	}
 	t[r.Key] = r
-	m.maxVersions[r.Table] = max(m.maxVersions[r.Table], r.Version)
+	if r.Version.IsNewerThan(m.maxVersions[r.Table]) {
+		m.maxVersions[r.Table] = r.Version
+	}
 	return true
 }
 
 // ApplySnapshot applies a snapshot of a table that was read at a version, and returns the
 // rows that changed. A stored row that is missing from the snapshot is marked as deleted,
 // unless it is newer than the snapshot.
-func (m *Mirror) ApplySnapshot(table string, rows []Row, version int64) []Row {
+func (m *Mirror) ApplySnapshot(table string, rows []Row, version Version) []Row {
 	seen := map[string]bool{}
 	for _, r := range rows {
 		seen[r.Key] = true
 	}
 	changes := rows
 	for key, r := range m.tables[table] {
-		if !seen[key] && !r.Deleted && r.Version <= version {
+		if !seen[key] && !r.Deleted && !r.Version.IsNewerThan(version) {
 			changes = append(changes, Row{RowKey: r.RowKey, Version: version, Deleted: true})
 		}
 	}
@@ -59,14 +73,14 @@
 }
 
 // Version returns the highest row version of a table.
-func (m *Mirror) Version(table string) int64 { return m.maxVersions[table] }
+func (m *Mirror) Version(table string) Version { return m.maxVersions[table] }
 
 // ChangedSince returns the rows of a table that are newer than a version, deleted rows
 // included.
-func (m *Mirror) ChangedSince(table string, version int64) []Row {
+func (m *Mirror) ChangedSince(table string, version Version) []Row {
 	var out []Row
 	for _, r := range m.tables[table] {
-		if r.Version > version {
+		if r.Version.IsNewerThan(version) {
 			out = append(out, r)
 		}
 	}
--- a/bbrrows/rows.go
+++ b/bbrrows/rows.go
@@ -41,7 +41,7 @@
 type Row struct {
 	RowKey
 	Value   []byte
-	Version int64
+	Version Version
 	// Deleted marks a row that was deleted. Read returns no such rows.
 	Deleted bool
 }
@@ -49,8 +49,9 @@
 // ConditionalWrite is an atomic conditional write: either all of it is applied or nothing.
 type ConditionalWrite struct {
 	// ExpectedVersions holds the versions that rows must have for the write to be
-	// applied. 0 means that the row must not exist.
-	ExpectedVersions map[RowKey]int64
+	// applied. A version of number 0 means that the row must not exist. The store
+	// compares the numbers only.
+	ExpectedVersions map[RowKey]Version
 	Set              map[RowKey][]byte
 	Delete           []RowKey
 }
@@ -59,20 +60,20 @@
 type ChangeBatch struct {
 	Rows []Row
 	// NextVersion is the version to pass to Watch for the next batch.
-	NextVersion int64
+	NextVersion Version
 }
 
 // Store is a client of the table store.
 type Store interface {
 	// Read returns a consistent snapshot of all rows of a table, and the version of
 	// the snapshot.
-	Read(ctx context.Context, table string) ([]Row, int64, error)
+	Read(ctx context.Context, table string) ([]Row, Version, error)
 	// Watch returns the changes of a table after a version. If there is no
 	// change yet, it waits for the first one, at most for the duration wait. It returns
 	// ErrCompacted if the changes are no longer available.
-	Watch(ctx context.Context, table string, after int64, wait time.Duration) (ChangeBatch, error)
+	Watch(ctx context.Context, table string, after Version, wait time.Duration) (ChangeBatch, error)
 	// Write applies a conditional write and returns its version. It returns ErrConflict or
 	// ErrRejected if nothing was applied. After any other error the change may have
 	// been applied.
-	Write(ctx context.Context, c ConditionalWrite) (int64, error)
+	Write(ctx context.Context, c ConditionalWrite) (Version, error)
 }
--- a/bbrshare/share.go
+++ b/bbrshare/share.go
@@ -27,7 +27,7 @@
 )
 
 // Versions are the versions of tables that an instance has.
-type Versions map[string]int64
+type Versions map[string]bbrrows.Version
 
 // Knowledge is what an instance knows.
 type Knowledge struct {
@@ -55,7 +55,7 @@
 func (s *server) Pull(ctx context.Context, r *sharepb.PullRequest) (*sharepb.Knowledge, error) {
 	q := Question{Versions: Versions{}, RenewOlder: time.Duration(r.RenewOlderUs) * time.Microsecond}
 	for _, t := range r.Tables {
-		q.Versions[t.Table] = t.Version
+		q.Versions[t.Table] = bbrrows.Version{Era: bbrrows.Era(t.Era), Number: t.Version}
 	}
 	return encode(s.source(ctx, q)), nil
 }
@@ -70,7 +70,7 @@
 func (c *Client) Pull(ctx context.Context, address string, q Question) (Knowledge, error) {
 	r := &sharepb.PullRequest{RenewOlderUs: q.RenewOlder.Microseconds()}
 	for table, version := range q.Versions {
-		r.Tables = append(r.Tables, &sharepb.TableVersion{Table: table, Version: version})
+		r.Tables = append(r.Tables, &sharepb.TableVersion{Table: table, Era: int64(version.Era), Version: version.Number})
 	}
 	k, err := sharepb.NewShareProtobufClient("http://"+address, c.http).Pull(ctx, r)
 	if err != nil {
@@ -90,7 +90,7 @@
 		})
 	}
 	for _, r := range k.Rows {
-		out.Rows = append(out.Rows, &sharepb.Row{Table: r.Table, Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted})
+		out.Rows = append(out.Rows, &sharepb.Row{Table: r.Table, Key: r.Key, Value: r.Value, Era: int64(r.Version.Era), Version: r.Version.Number, Deleted: r.Deleted})
 	}
 	return out
 }
@@ -110,7 +110,8 @@
 	}
 	for _, r := range k.Rows {
 		out.Rows = append(out.Rows, bbrrows.Row{
-			RowKey: bbrrows.RowKey{Table: r.Table, Key: r.Key}, Value: r.Value, Version: r.Version, Deleted: r.Deleted,
+			RowKey: bbrrows.RowKey{Table: r.Table, Key: r.Key}, Value: r.Value, Deleted: r.Deleted,
+			Version: bbrrows.Version{Era: bbrrows.Era(r.Era), Number: r.Version},
 		})
 	}
 	return out
--- a/bbrsuccession/succession.go
+++ b/bbrsuccession/succession.go
@@ -34,6 +34,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bluebellroute/bluebellroute/bbrmessage"
+	"github.com/bluebellroute/bluebellroute/bbrrows"
 	"github.com/bluebellroute/bluebellroute/bbrtype"
 )
 
@@ -102,9 +103,9 @@
 // VersionedRecord is a group's record as an instance last read it.
 type VersionedRecord struct {
 	Record Record
-	// Version is the version of the row in the table store, 0 if the row does not
-	// exist.
-	Version int64
+	// Version is the version of the row in the table store. It is zero if the row does
+	// not exist.
+	Version bbrrows.Version
 	// FirstReadAt is when the instance first read this version.
 	FirstReadAt bbrtype.Mono
 }
