Read a table again when its feed continues in a newer era

What callers saw: as before, CONFIG, when an instance did not notice that the store was restored: after a cut, or when a client repeats a poll whose connection broke.

Cause: the version after which a feed continues was taken as only ever rising. Once the store has given that number out again, it does not answer 410, and the changes that have lower numbers in the new era are never seen.

Change: a reply in a newer era than the cursor's makes the instance read the whole table. The first poll after a failed one returns at once, so that the era shows.

--- a/bbrnode/watch.go
+++ b/bbrnode/watch.go
@@ -25,6 +25,9 @@
 	// may be long because proveFromStore reads the records at shorter intervals
 	// anyway.
 	recordPollTimeout = 12 * time.Second
+	// resumePollTimeout bounds the first poll after a failed one. The store may have been
+	// restored meanwhile, which its reply shows.
+	resumePollTimeout = time.Millisecond
 )
 
 // followedTable is a table of the store that an instance follows.
@@ -39,13 +42,15 @@
 func (n *Node) followTable(ctx context.Context, t followedTable) {
 	var cursor *bbrrows.Version
 	pause := minStoreBackoff
+	wait := t.pollTimeout
 	log := n.log.WithField("table", t.name)
 	for ctx.Err() == nil {
-		next, err := n.readTable(ctx, t, cursor)
+		next, err := n.readTable(ctx, t.name, cursor, wait)
 		if err == nil {
-			cursor = &next
+			cursor = next
+			wait = t.pollTimeout
 			if n.setUnavailable(t.name, false) {
-				log.WithFields(versionFields(next)).Info("store regained")
+				log.Info("store regained")
 			}
 			pause = minStoreBackoff
 			continue
@@ -59,32 +64,40 @@
 		} else if !n.setUnavailable(t.name, true) {
 			log.WithError(err).Warn("store lost")
 		}
+		wait = resumePollTimeout
 		bbrtype.Sleep(ctx, pause)
 		pause = min(2*pause, maxStoreBackoff)
 	}
 }
 
 // readTable reads the whole table if cursor is nil, and otherwise waits for changes
-// after cursor. It returns the version to continue from.
-func (n *Node) readTable(ctx context.Context, t followedTable, cursor *bbrrows.Version) (bbrrows.Version, error) {
+// after cursor, for at most the duration wait. It returns the version to continue from,
+// nil to read the whole table next.
+func (n *Node) readTable(ctx context.Context, table string, cursor *bbrrows.Version, wait time.Duration) (*bbrrows.Version, error) {
 	if cursor == nil {
-		rows, version, err := n.platform.Store.Read(ctx, t.name)
-		if err == nil {
-			n.log.WithFields(versionFields(version)).WithFields(logrus.Fields{"table": t.name, "rows": len(rows)}).Info("whole table read")
-			n.applyTable(t.name, rows, version)
+		rows, version, err := n.platform.Store.Read(ctx, table)
+		if err != nil {
+			return nil, err
 		}
-		return version, err
+		n.log.WithFields(versionFields(version)).WithFields(logrus.Fields{"table": table, "rows": len(rows)}).Info("whole table read")
+		n.applyTable(table, rows, version)
+		return &version, nil
 	}
-	batch, err := n.platform.Store.Watch(ctx, t.name, *cursor, t.pollTimeout)
+	batch, err := n.platform.Store.Watch(ctx, table, *cursor, wait)
 	if err != nil {
-		return *cursor, err
+		return cursor, err
 	}
 	n.recordEra(batch.NextVersion.Era)
 	n.applyRows(batch.Rows)
-	if cursor.IsNewerThan(batch.NextVersion) {
-		return *cursor, nil
+	switch {
+	case batch.NextVersion.Era > cursor.Era:
+		// The numbers before this batch were given out anew, to changes that this
+		// instance has not seen.
+		return nil, nil
+	case cursor.IsNewerThan(batch.NextVersion):
+		return cursor, nil
 	}
-	return batch.NextVersion, nil
+	return &batch.NextVersion, nil
 }
 
 // setUnavailable records whether reads of a table from the store fail, and returns
