--- /dev/null
+++ b/bbrsuccession/record_test.go
@@ -0,0 +1,58 @@
+package bbrsuccession
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bluebellroute/bluebellroute/bbrtype"
+)
+
+func TestMayClaim(t *testing.T) {
+	now := bbrtype.Mono(time.Hour)
+	tests := map[string]struct {
+		record Record
+		age    time.Duration
+		want   bool
+	}{
+		"no failover is running":                     {record: Record{Phase: PhaseNamed, Holder: "other"}, want: true},
+		"there is no record":                         {want: true},
+		"another instance holds a live claim":        {record: Record{Phase: PhaseClaimed, Holder: "other"}, age: ClaimTTL, want: false},
+		"the claim of another instance has expired":  {record: Record{Phase: PhaseClaimed, Holder: "other"}, age: claimTakeoverDelay + 1, want: true},
+		"an earlier process of the instance claimed": {record: Record{Phase: PhaseClaimed, Holder: "me"}, want: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(MayClaim(VersionedRecord{Record: tt.record, FirstReadAt: now.Add(-tt.age)}, "me", now), tt.want)
+		})
+	}
+}
+
+func TestClaimRaisesTheFence(t *testing.T) {
+	is := is.New(t)
+	r := Claim(VersionedRecord{Record: Record{FencingToken: 4, Primary: "m1", Term: 3, Phase: PhaseNamed, Holder: "other", Renewals: 2}}, "me")
+	is.Equal(r, Record{FencingToken: 5, Primary: "m1", Term: 3, Phase: PhaseClaimed, Holder: "me"})
+}
+
+func TestProves(t *testing.T) {
+	tests := map[string]struct {
+		record Record
+		exists bool
+		want   bool
+	}{
+		"there is no record":                       {want: true},
+		"the record has the term":                  {record: Record{Phase: PhaseNamed, Primary: "m1", Term: 2}, exists: true, want: true},
+		"a failover has begun":                     {record: Record{Phase: PhaseClaimed, Primary: "m1", Term: 2}, exists: true},
+		"the record has a newer term":              {record: Record{Phase: PhaseNamed, Primary: "m2", Term: 3}, exists: true},
+		"the primary restarted under another name": {record: Record{Phase: PhaseNamed, Primary: "m0", Term: 2}, exists: true, want: true},
+		"the record has an older term":             {record: Record{Phase: PhaseNamed, Primary: "m1", Term: 1}, exists: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(ConfirmsTerm(tt.record, tt.exists, 2), tt.want)
+		})
+	}
+}
--- a/bbrsuccession/succession.go
+++ b/bbrsuccession/succession.go
@@ -34,7 +34,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/bluebellroute/bluebellroute/bbrmessage"
-	"github.com/bluebellroute/bluebellroute/bbrrows"
 	"github.com/bluebellroute/bluebellroute/bbrtype"
 )
 
@@ -51,48 +50,12 @@
 	// replicationSeenTTL is how long a primary counts as alive after a replica was last
 	// observed to receive from it.
 	replicationSeenTTL = 500 * time.Millisecond
-	// ClaimTTL is how long an instance may act on its claim after it last wrote the
-	// claim.
-	ClaimTTL = 2 * time.Second
-	// ClaimRenewAfter is the age at which the holder renews its claim.
-	ClaimRenewAfter = 700 * time.Millisecond
-	// claimTakeoverDelay is how long a claim must stay unrenewed before another instance
-	// may take it over. The time counts from when that instance first read the claim's
-	// version.
-	claimTakeoverDelay = ClaimTTL + time.Second
 	// noCommitSeenDelay is added to UnresponsiveTimeout on instances that have seen no
 	// acknowledged commit. Instances that have seen one can reject a replica that lacks
 	// it, so they start the failover first.
 	noCommitSeenDelay = 1200 * time.Millisecond
 )
 
-// FencingToken is a fencing token. It grows with every failover of a group.
-type FencingToken uint64
-
-// Phase is the state of a group's record.
-type Phase string
-
-// The phases of a record. PhaseClaimed means that the holder runs a failover.
-// PhaseNamed means that the record names the current primary and that no failover is
-// running.
-const (
-	PhaseClaimed Phase = "claimed"
-	PhaseNamed   Phase = "named"
-)
-
-// Record is the value of a group's row in the table store.
-type Record struct {
-	Phase        Phase        `json:"phase"`
-	FencingToken FencingToken `json:"fence"`
-	// Holder is the instance that last claimed the record.
-	Holder string `json:"holder"`
-	// Primary and Term identify the primary that was last written to the record.
-	Primary bbrtype.MemberName `json:"primary"`
-	Term    bbrtype.Term       `json:"term"`
-	// Renewals counts the renewals of the claim.
-	Renewals int `json:"renewed,omitempty"`
-}
-
 // PromotionRequest is a request to promote a member.
 type PromotionRequest struct {
 	Group        bbrtype.GroupName
@@ -100,41 +63,6 @@
 	FencingToken FencingToken
 }
 
-// VersionedRecord is a group's record as an instance last read it.
-type VersionedRecord struct {
-	Record Record
-	// Version is the version of the row in the table store. It is zero if the row does
-	// not exist.
-	Version bbrrows.Version
-	// FirstReadAt is when the instance first read this version.
-	FirstReadAt bbrtype.Mono
-}
-
-// MayClaim reports whether an instance may start a failover: no failover is running,
-// its holder has stopped renewing the claim, or the claim was made by an earlier
-// process of the same instance, which has ended.
-func MayClaim(current VersionedRecord, holder string, now bbrtype.Mono) bool {
-	return current.Record.Phase != PhaseClaimed || current.Record.Holder == holder || now.Sub(current.FirstReadAt) > claimTakeoverDelay
-}
-
-// ConfirmsTerm reports whether a record shows that no failover has started since the
-// primary of the given term took over. exists is false if the store has no record for
-// the group. The primary's name is not compared, because a member that crashed may
-// restart under another name.
-func ConfirmsTerm(r Record, exists bool, term bbrtype.Term) bool {
-	return !exists || r.Phase == PhaseNamed && r.Term == term
-}
-
-// Claim returns the record to write at the start of a failover.
-func Claim(current VersionedRecord, holder string) Record {
-	r := current.Record
-	r.Phase = PhaseClaimed
-	r.Holder = holder
-	r.Renewals = 0
-	r.FencingToken++
-	return r
-}
-
 // Candidate is a member with the status that it reported.
 type Candidate struct {
 	ID       bbrtype.MemberName
