Claim a group's record that a restore of the store has lost

What callers saw: a group whose record was written shortly before the store was restored got no new primary when the next one failed; its writes were rejected for good.

Cause: the version of a record was taken as one that the store keeps. An instance ignored that the row was gone, and claimed it under the version of the lost row, which the store rejects for ever.

Change: a row of a record that is gone is expected not to exist. What is known of the record (fence, primary) is kept.

--- a/bbrnode/change.go
+++ b/bbrnode/change.go
@@ -190,7 +190,7 @@
 	row := bbrrows.RowKey{Table: groupTable, Key: string(c.group.Name())}
 	sentAt := c.node.clock.Now()
 	version, err := c.node.platform.Store.Write(ctx, bbrrows.ConditionalWrite{
-		ExpectedVersions: map[bbrrows.RowKey]bbrrows.Version{row: c.known.Version},
+		ExpectedVersions: map[bbrrows.RowKey]bbrrows.Version{row: c.known.ExpectedVersion()},
 		Set:              map[bbrrows.RowKey][]byte{row: value},
 	})
 	if err != nil {
--- a/bbrnode/maintain.go
+++ b/bbrnode/maintain.go
@@ -7,7 +7,6 @@
 	"github.com/bluebellroute/bluebellroute/bbrlink"
 	"github.com/bluebellroute/bluebellroute/bbrmessage"
 	"github.com/bluebellroute/bluebellroute/bbrproof"
-	"github.com/bluebellroute/bluebellroute/bbrrows"
 	"github.com/bluebellroute/bluebellroute/bbrsuccession"
 	"github.com/bluebellroute/bluebellroute/bbrtype"
 )
@@ -123,7 +122,7 @@
 		return
 	}
 	p := bbrlink.Primary{Member: best.ID, Term: best.Status.Term}
-	if !loaded || !bbrsuccession.ConfirmsTerm(known.Record, known.Version != (bbrrows.Version{}), p.Term) {
+	if !loaded || !bbrsuccession.ConfirmsTerm(known.Record, known.Exists, p.Term) {
 		// A change of primary may still be running. Proofs of the old primary have
 		// to expire before the new one is used.
 		p.UsableFrom = n.clock.Now().Add(bbrproof.LeaseDuration)
--- a/bbrnode/node.go
+++ b/bbrnode/node.go
@@ -254,7 +254,9 @@
 
 // applyRecord applies a change of a group's record. n.mu must be held.
 func (n *Node) applyRecord(r bbrrows.Row) {
+	name := bbrtype.GroupName(r.Key)
 	if r.Deleted {
+		n.setRecordLost(name, r.Version)
 		return
 	}
 	var record bbrsuccession.Record
@@ -262,7 +264,19 @@
 		n.log.WithField("group", r.Key).WithError(err).Error("cannot decode the group's record; ignoring it")
 		return
 	}
-	n.setRecord(bbrtype.GroupName(r.Key), record, r.Version)
+	n.setRecord(name, record, r.Version)
+}
+
+// setRecordLost records that the store no longer has a group's record, as after a
+// restore. Its last value stays known. n.mu must be held.
+func (n *Node) setRecordLost(name bbrtype.GroupName, version bbrrows.Version) {
+	r := n.records[name]
+	if !r.Exists || !version.IsNewerThan(r.Version) {
+		return
+	}
+	r.Exists, r.Version, r.FirstReadAt = false, version, n.clock.Now()
+	n.records[name] = r
+	n.log.WithFields(versionFields(version)).WithField("group", name).Warn("the store has lost the group's record")
 }
 
 // setRecord replaces this instance's copy of a group's record if the given one is
@@ -271,7 +285,7 @@
 	if old := n.records[name]; !version.IsNewerThan(old.Version) {
 		return
 	}
-	n.records[name] = bbrsuccession.VersionedRecord{Record: record, Version: version, FirstReadAt: n.clock.Now()}
+	n.records[name] = bbrsuccession.VersionedRecord{Record: record, Exists: true, Version: version, FirstReadAt: n.clock.Now()}
 	n.log.WithFields(logrus.Fields{"group": name, "phase": record.Phase, "holder": record.Holder, "fence": record.FencingToken, "primary": record.Primary, "term": record.Term}).Info("record of the group")
 	if g := n.groups[name]; g != nil && record.Phase == bbrsuccession.PhaseNamed && record.Term > g.Primary().Term {
 		g.SetPrimary(bbrlink.Primary{Member: record.Primary, Term: record.Term})
--- a/bbrsuccession/record.go
+++ b/bbrsuccession/record.go
@@ -48,14 +48,24 @@
 
 // VersionedRecord is a group's record as an instance last read it.
 type VersionedRecord struct {
+	// Record is the row's last value that the instance has read. The row may be gone.
 	Record Record
-	// Version is the version of the row in the table store. It is zero if the row does
-	// not exist.
+	// Exists is set if the table store has the row.
+	Exists bool
+	// Version is the version of the row, or of its removal by a restore of the store.
 	Version bbrrows.Version
 	// FirstReadAt is when the instance first read this version.
 	FirstReadAt bbrtype.Mono
 }
 
+// ExpectedVersion returns the version that the row must have for a write of the record.
+func (v VersionedRecord) ExpectedVersion() bbrrows.Version {
+	if !v.Exists {
+		return bbrrows.Version{}
+	}
+	return v.Version
+}
+
 // MayClaim reports whether an instance may start a failover: no failover is running,
 // its holder has stopped renewing the claim, or the claim was made by an earlier
 // process of the same instance, which has ended.
