Give each era of the store fencing tokens of its own

What could be seen: after a restore that lost the record of a group's failover, an instance that does not know the record ordered a promotion under a token that another holder had used (ONE).

Cause: the token was the last one of the record plus one, and the record was taken as never going back.

Change: a token is above the lower bound of the store's era, and the bound is above all tokens of older eras, so nothing has to be known of the lost record.

TestFenceAfterRestore is new.

--- a/bbrnode/change.go
+++ b/bbrnode/change.go
@@ -122,7 +122,7 @@
 
 // run carries out the steps of the change.
 func (c *primaryChange) run(ctx context.Context) error {
-	record := bbrsuccession.Claim(c.known, c.node.settings.Name)
+	record := bbrsuccession.Claim(c.known, c.node.settings.Name, c.node.currentEra())
 	if err := c.writeRecord(ctx, record); err != nil {
 		return errors.Wrap(err, "claim the record")
 	}
--- a/bbrsuccession/record.go
+++ b/bbrsuccession/record.go
@@ -19,9 +19,18 @@
 	claimTakeoverDelay = ClaimTTL + time.Second
 )
 
-// FencingToken is a fencing token. It grows with every failover of a group.
+// FencingToken is a fencing token. It grows with every failover of a group. Each era of
+// the store has a range of its own, because a restore may lose the record with the last
+// token that was used.
 type FencingToken uint64
 
+// tokensPerEra is the size of the range of fencing tokens of an era of the store.
+const tokensPerEra = 1 << 20
+
+// minToken returns a lower bound of the fencing tokens of an era, which is above all
+// tokens of older eras.
+func minToken(era bbrrows.Era) FencingToken { return FencingToken(era) * tokensPerEra }
+
 // Phase is the state of a group's record.
 type Phase string
 
@@ -81,12 +90,12 @@
 	return !exists || r.Phase == PhaseNamed && r.Term == term
 }
 
-// Claim returns the record to write at the start of a failover.
-func Claim(current VersionedRecord, holder string) Record {
+// Claim returns the record to write at the start of a failover in an era of the store.
+func Claim(current VersionedRecord, holder string, era bbrrows.Era) Record {
 	r := current.Record
 	r.Phase = PhaseClaimed
 	r.Holder = holder
 	r.Renewals = 0
-	r.FencingToken++
+	r.FencingToken = max(r.FencingToken, minToken(era)) + 1
 	return r
 }
--- a/bbrsuccession/record_test.go
+++ b/bbrsuccession/record_test.go
@@ -32,7 +32,7 @@
 
 func TestClaimRaisesTheFence(t *testing.T) {
 	is := is.New(t)
-	r := Claim(VersionedRecord{Record: Record{FencingToken: 4, Primary: "m1", Term: 3, Phase: PhaseNamed, Holder: "other", Renewals: 2}}, "me")
+	r := Claim(VersionedRecord{Record: Record{FencingToken: 4, Primary: "m1", Term: 3, Phase: PhaseNamed, Holder: "other", Renewals: 2}}, "me", 0)
 	is.Equal(r, Record{FencingToken: 5, Primary: "m1", Term: 3, Phase: PhaseClaimed, Holder: "me"})
 }
 
@@ -56,3 +56,23 @@
 		})
 	}
 }
+
+// TestFenceAfterRestore claims a record whose last value a restore may have lost: the
+// token is above all that were given out in older eras.
+func TestFenceAfterRestore(t *testing.T) {
+	lost := Claim(VersionedRecord{Record: Record{FencingToken: 4}}, "other", 1)
+	tests := map[string]struct{ current Record }{
+		"the record is known":        {current: lost},
+		"the record is lost":         {},
+		"the copy has an older one":  {current: Record{FencingToken: lost.FencingToken - 1}},
+		"another era was lost whole": {current: Claim(VersionedRecord{}, "other", 2)},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			got := Claim(VersionedRecord{Record: tt.current}, "me", 3)
+			is.True(got.FencingToken > lost.FencingToken)
+			is.True(got.FencingToken > tt.current.FencingToken)
+		})
+	}
+}
--- a/bbrsuccession/succession.go
+++ b/bbrsuccession/succession.go
@@ -23,7 +23,7 @@
 // # Usage
 //
 //	reason, due := bbrsuccession.ChangeDue(observation, now)
-//	claim := bbrsuccession.Claim(known, "instance-1")
+//	claim := bbrsuccession.Claim(known, "instance-1", era)
 //	choice := bbrsuccession.Choose(input)
 package bbrsuccession
 
