Let a group's record prove and allow nothing until it is confirmed in the store's era

What callers saw: reads on a route of the primary came from an old primary that lacked acknowledged commits (STALE), and two instances could run a failover at once.

Cause: a record of a group, or that there is none, was taken as showing each failover that has begun. A restore of the store loses claims and named primaries.

Ruled out: a lease that was counted too long (the barrier's wait of 1 s was kept), a reply of the store from before the restore.

Change: the record names the era in which it was confirmed. An instance confirms the record when it has a proof of the primary from after all claims of the older era have expired; a finished promotion confirms it as well, a member that was found to lead does not. Giving up a change no longer writes a term older than that of the primary in use.

--- a/bbrlink/prove.go
+++ b/bbrlink/prove.go
@@ -78,6 +78,17 @@
 	return g.proof.LastProofAt() >= g.Clock.Now().Add(-age)
 }
 
+// ProofSentAt returns when the request of the newest proof of a primary was sent, 0 if
+// there is none or if it is not the primary in use.
+func (g *Group) ProofSentAt(p Primary) bbrtype.Mono {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p != g.primary {
+		return 0
+	}
+	return g.proof.LastProofAt()
+}
+
 // hasRecentPosition reports whether replies have shown the primary's log position
 // recently, whether or not a proof covers it yet.
 func (g *Group) hasRecentPosition() bool {
--- a/bbrnode/change.go
+++ b/bbrnode/change.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/pkg/errors"
@@ -88,7 +87,7 @@
 	}
 	defer n.endChange(g.Name())
 	known := n.knownRecord(g.Name())
-	if !bbrsuccession.MayClaim(known, n.settings.Name, n.clock.Now()) {
+	if !bbrsuccession.MayClaim(known, n.settings.Name, n.currentEra(), n.clock.Now()) {
 		return
 	}
 	c := &primaryChange{
@@ -122,7 +121,7 @@
 
 // run carries out the steps of the change.
 func (c *primaryChange) run(ctx context.Context) error {
-	record := bbrsuccession.Claim(c.known, c.node.settings.Name, c.node.currentEra())
+	record := bbrsuccession.Claim(c.known, c.node.settings.Name, c.node.currentEra().Era)
 	if err := c.writeRecord(ctx, record); err != nil {
 		return errors.Wrap(err, "claim the record")
 	}
@@ -180,56 +179,17 @@
 }
 
 // writeRecord writes the group's record if its version in the store is still the one
-// in c.known. If there is no reply, it reads the record back to find out whether the
-// write took effect.
+// in c.known.
 func (c *primaryChange) writeRecord(ctx context.Context, r bbrsuccession.Record) error {
-	value, err := json.Marshal(r)
-	if err != nil {
-		return errors.Wrap(err, "encode the record")
-	}
-	row := bbrrows.RowKey{Table: groupTable, Key: string(c.group.Name())}
 	sentAt := c.node.clock.Now()
-	version, err := c.node.platform.Store.Write(ctx, bbrrows.ConditionalWrite{
-		ExpectedVersions: map[bbrrows.RowKey]bbrrows.Version{row: c.known.ExpectedVersion()},
-		Set:              map[bbrrows.RowKey][]byte{row: value},
-	})
+	known, err := c.node.writeRecord(ctx, c.group.Name(), c.known, r)
 	if err != nil {
-		if version, err = c.readBackRecord(ctx, r, err); err != nil {
-			return err
-		}
+		return err
 	}
-	c.node.applyRows([]bbrrows.Row{{RowKey: row, Value: value, Version: version}})
-	c.node.mu.Lock()
-	defer c.node.mu.Unlock()
-	c.known = c.node.records[c.group.Name()]
-	c.claimRenewedAt = sentAt
+	c.known, c.claimRenewedAt = known, sentAt
 	return nil
 }
 
-// readBackRecord reads the record to find out whether a write without a reply took
-// effect. It returns the version written, or cause if the record differs or cannot
-// be read.
-func (c *primaryChange) readBackRecord(ctx context.Context, want bbrsuccession.Record, cause error) (bbrrows.Version, error) {
-	if errors.Is(cause, bbrrows.ErrRejected) {
-		return bbrrows.Version{}, cause
-	}
-	rows, _, err := c.node.platform.Store.Read(ctx, groupTable)
-	if err != nil {
-		return bbrrows.Version{}, cause
-	}
-	for _, r := range rows {
-		if r.Key != string(c.group.Name()) {
-			continue
-		}
-		var have bbrsuccession.Record
-		if json.Unmarshal(r.Value, &have) == nil && have == want {
-			return r.Version, nil
-		}
-		c.node.applyRows([]bbrrows.Row{r})
-	}
-	return bbrrows.Version{}, cause
-}
-
 // reachBarrier pauses replication until the old primary cannot get any further
 // commit acknowledged. It returns the choice of the next primary, which may be the
 // old one, and the time at which the barrier was reached.
@@ -327,6 +287,11 @@
 func (c *primaryChange) completeChange(ctx context.Context, choice bbrsuccession.Choice) error {
 	record := c.known.Record
 	record.Phase, record.Primary, record.Term = bbrsuccession.PhaseNamed, choice.Member, choice.Term
+	if choice.Decision == bbrsuccession.DecisionPromote {
+		// A member that is found to lead does not confirm the record: another one may
+		// lead a newer term.
+		record.Era = c.known.Version.Era
+	}
 	c.group.SetPrimary(bbrlink.Primary{Member: choice.Member, Term: choice.Term})
 	c.log.WithFields(logrus.Fields{"member": choice.Member, "term": choice.Term, "tookMs": c.node.clock.Now().Sub(c.startedAt).Milliseconds()}).Info("change of primary done")
 	err := c.writeRecord(ctx, record)
@@ -372,7 +337,7 @@
 	})
 	r := c.known.Record
 	r.Phase = bbrsuccession.PhaseNamed
-	if r.Primary == "" {
+	if c.oldPrimary.Term >= r.Term {
 		r.Primary, r.Term = c.oldPrimary.Member, c.oldPrimary.Term
 	}
 	if err := c.writeRecord(ctx, r); err != nil {
--- a/bbrnode/collector.go
+++ b/bbrnode/collector.go
@@ -44,7 +44,7 @@
 		}
 		gauge(tableUnavailableDesc, value, t.name)
 	}
-	gauge(storeEraDesc, float64(n.currentEra()))
+	gauge(storeEraDesc, float64(n.currentEra().Era))
 	for _, g := range n.allGroups() {
 		name := string(g.Name())
 		waiting, connections := g.Stats()
--- a/bbrnode/era.go
+++ b/bbrnode/era.go
@@ -4,6 +4,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/bluebellroute/bluebellroute/bbrrows"
+	"github.com/bluebellroute/bluebellroute/bbrsuccession"
 )
 
 // versionFields are the log fields of a version of the store.
@@ -12,7 +13,7 @@
 }
 
 // currentEra returns the newest era of the store that this instance has seen.
-func (n *Node) currentEra() bbrrows.Era {
+func (n *Node) currentEra() bbrsuccession.StoreEra {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.storeEra
@@ -22,11 +23,11 @@
 func (n *Node) recordEra(era bbrrows.Era) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if era <= n.storeEra {
+	if n.storeEra.Since != 0 && era <= n.storeEra.Era {
 		return
 	}
-	n.log.WithFields(logrus.Fields{"era": era, "before": n.storeEra}).Warn("the store was restored, or this instance has just started")
-	n.storeEra = era
+	n.log.WithFields(logrus.Fields{"era": era, "before": n.storeEra.Era, "first": n.storeEra.Since == 0}).Warn("new era of the store")
+	n.storeEra = bbrsuccession.StoreEra{Era: era, Since: n.clock.Now()}
 }
 
 // logIgnored logs rows that are not newer than the known ones but differ from them.
--- a/bbrnode/maintain.go
+++ b/bbrnode/maintain.go
@@ -4,9 +4,12 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/bluebellroute/bluebellroute/bbrlink"
 	"github.com/bluebellroute/bluebellroute/bbrmessage"
 	"github.com/bluebellroute/bluebellroute/bbrproof"
+	"github.com/bluebellroute/bluebellroute/bbrrows"
 	"github.com/bluebellroute/bluebellroute/bbrsuccession"
 	"github.com/bluebellroute/bluebellroute/bbrtype"
 )
@@ -82,6 +85,8 @@
 		n.runAsync(func() { n.findPrimary(ctx, g) })
 	case p.Member != "" && needsInspection && s.isDue(n.inspectionRank(g.Name()), now):
 		n.runAsync(func() { n.inspectPrimary(ctx, g, p) })
+	case p.Member != "" && s.isDue(0, now) && n.isConfirmDue(g, p, now):
+		n.runAsync(func() { n.confirmRecord(ctx, g, p) })
 	case p.Member != "" && n.isReplyOverdue(g, p.Member) && s.isDue(0, now):
 		n.runAsync(func() { _, _ = g.QueryStatus(ctx, p.Member) })
 	case !needsInspection && now.Sub(g.NewestSampleAt()) > sampleMaxAge && s.isDue(0, now):
@@ -122,7 +127,7 @@
 		return
 	}
 	p := bbrlink.Primary{Member: best.ID, Term: best.Status.Term}
-	if !loaded || !bbrsuccession.ConfirmsTerm(known.Record, known.Exists, p.Term) {
+	if !loaded || !bbrsuccession.ConfirmsTerm(known, n.currentEra().Era, p.Term) {
 		// A change of primary may still be running. Proofs of the old primary have
 		// to expire before the new one is used.
 		p.UsableFrom = n.clock.Now().Add(bbrproof.LeaseDuration)
@@ -260,21 +265,33 @@
 		ctx, cancel := context.WithTimeout(ctx, storeProofTimeout)
 		defer cancel()
 		sentAt := n.clock.Now()
-		rows, _, err := n.platform.Store.Read(ctx, groupTable)
+		rows, version, err := n.platform.Store.Read(ctx, groupTable)
 		if err != nil {
 			return err
 		}
-		hasRecord := map[bbrtype.GroupName]bool{}
+		n.recordEra(version.Era)
 		n.applyRows(rows)
-		for _, r := range rows {
-			hasRecord[bbrtype.GroupName(r.Key)] = true
+		return n.proveByRecords(version.Era, sentAt)
+	})
+}
+
+// errRecordUnconfirmed means that the record of a group is not confirmed in the store's
+// era. Only the group's members can prove its primary then.
+var errRecordUnconfirmed = errors.New("a group's record is not confirmed since the store was restored")
+
+// proveByRecords renews the proofs of all groups by their records, which were read in an
+// era of the store by a request sent at sentAt.
+func (n *Node) proveByRecords(era bbrrows.Era, sentAt bbrtype.Mono) error {
+	var err error
+	for _, g := range n.allGroups() {
+		p := g.Primary()
+		known := n.knownRecord(g.Name())
+		if bbrsuccession.ConfirmsTerm(known, era, p.Term) {
+			g.RecordStoreProof(p.Term, sentAt)
 		}
-		for _, g := range n.allGroups() {
-			p := g.Primary()
-			if bbrsuccession.ConfirmsTerm(n.knownRecord(g.Name()).Record, hasRecord[g.Name()], p.Term) {
-				g.RecordStoreProof(p.Term, sentAt)
-			}
+		if !known.IsConfirmedIn(era) {
+			err = errRecordUnconfirmed
 		}
-		return nil
-	})
+	}
+	return err
 }
--- a/bbrnode/node.go
+++ b/bbrnode/node.go
@@ -120,7 +120,7 @@
 	// entry.
 	undecodableMembers map[string]bbrrows.Version
 	// storeEra is the newest era of the store that this instance has seen.
-	storeEra bbrrows.Era
+	storeEra bbrsuccession.StoreEra
 	// changing holds the groups whose primary this instance is changing.
 	changing map[bbrtype.GroupName]bool
 	progress map[bbrtype.GroupName]replicationProgress
--- a/bbrnode/watch.go
+++ b/bbrnode/watch.go
@@ -128,6 +128,9 @@
 // applyRows applies rows from any source: the store, another instance or a write of
 // this instance. Rows that are not newer than the known ones are ignored.
 func (n *Node) applyRows(rows []bbrrows.Row) {
+	for _, r := range rows {
+		n.recordEra(r.Version.Era)
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.logIgnored(rows)
--- a/bbrsuccession/record.go
+++ b/bbrsuccession/record.go
@@ -53,6 +53,15 @@
 	Term    bbrtype.Term       `json:"term"`
 	// Renewals counts the renewals of the claim.
 	Renewals int `json:"renewed,omitempty"`
+	// Era is the era of the store in which the record was confirmed, see IsConfirmedIn.
+	Era bbrrows.Era `json:"era,omitempty"`
+}
+
+// StoreEra is the store's era as an instance knows it.
+type StoreEra struct {
+	Era bbrrows.Era
+	// Since is when the instance first received a reply of this era.
+	Since bbrtype.Mono
 }
 
 // VersionedRecord is a group's record as an instance last read it.
@@ -75,19 +84,50 @@
 	return v.Version
 }
 
+// IsConfirmedIn reports whether the record is confirmed in an era of the store: each
+// failover since then shows in it. A restore of the store may lose claims and named
+// primaries, so a record of an older era shows nothing, and neither does the absence of a
+// record, unless the store does not report its era.
+func (v VersionedRecord) IsConfirmedIn(era bbrrows.Era) bool { return v.Record.Era == era }
+
 // MayClaim reports whether an instance may start a failover: no failover is running,
 // its holder has stopped renewing the claim, or the claim was made by an earlier
-// process of the same instance, which has ended.
-func MayClaim(current VersionedRecord, holder string, now bbrtype.Mono) bool {
+// process of the same instance, which has ended. If the record is not confirmed in the
+// store's era, a restore may have lost a claim, which has to expire first.
+func MayClaim(current VersionedRecord, holder string, era StoreEra, now bbrtype.Mono) bool {
+	if !current.IsConfirmedIn(era.Era) && now.Sub(era.Since) <= claimTakeoverDelay {
+		return false
+	}
 	return current.Record.Phase != PhaseClaimed || current.Record.Holder == holder || now.Sub(current.FirstReadAt) > claimTakeoverDelay
 }
 
 // ConfirmsTerm reports whether a record shows that no failover has started since the
-// primary of the given term took over. exists is false if the store has no record for
-// the group. The primary's name is not compared, because a member that crashed may
-// restart under another name.
-func ConfirmsTerm(r Record, exists bool, term bbrtype.Term) bool {
-	return !exists || r.Phase == PhaseNamed && r.Term == term
+// primary of the given term took over. The primary's name is not compared, because a
+// member that crashed may restart under another name.
+func ConfirmsTerm(current VersionedRecord, era bbrrows.Era, term bbrtype.Term) bool {
+	if !current.IsConfirmedIn(era) {
+		return false
+	}
+	return !current.Exists || current.Record.Phase == PhaseNamed && current.Record.Term == term
+}
+
+// ConfirmableFrom returns the time from which a proof of the primary (see bbrproof) is
+// good enough to confirm a record in the store's era: all claims that a restore may have
+// lost, or that the restored copy still shows, have expired by then.
+func ConfirmableFrom(current VersionedRecord, era StoreEra) bbrtype.Mono {
+	return max(era.Since, current.FirstReadAt).Add(claimTakeoverDelay)
+}
+
+// Confirm returns the record to write when the given primary is proven, see
+// ConfirmableFrom.
+func Confirm(current VersionedRecord, primary bbrtype.MemberName, term bbrtype.Term, era bbrrows.Era) Record {
+	r := current.Record
+	r.Phase = PhaseNamed
+	r.Primary = primary
+	r.Term = term
+	r.Renewals = 0
+	r.Era = era
+	return r
 }
 
 // Claim returns the record to write at the start of a failover in an era of the store.
--- a/bbrsuccession/record_test.go
+++ b/bbrsuccession/record_test.go
@@ -25,7 +25,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			is.Equal(MayClaim(VersionedRecord{Record: tt.record, FirstReadAt: now.Add(-tt.age)}, "me", now), tt.want)
+			is.Equal(MayClaim(VersionedRecord{Record: tt.record, FirstReadAt: now.Add(-tt.age)}, "me", StoreEra{}, now), tt.want)
 		})
 	}
 }
@@ -52,7 +52,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			is.Equal(ConfirmsTerm(tt.record, tt.exists, 2), tt.want)
+			is.Equal(ConfirmsTerm(VersionedRecord{Record: tt.record, Exists: tt.exists}, 0, 2), tt.want)
 		})
 	}
 }
@@ -76,3 +76,73 @@
 		})
 	}
 }
+
+// TestClaimAfterRestore starts a failover when a restore may have lost another
+// instance's claim, which is still valid for ClaimTTL.
+func TestClaimAfterRestore(t *testing.T) {
+	now := bbrtype.Mono(time.Hour)
+	tests := map[string]struct {
+		record Record
+		// sinceEra is how long ago the instance first saw the store's era.
+		sinceEra time.Duration
+		want     bool
+	}{
+		"the record is lost":                         {sinceEra: ClaimTTL},
+		"the copy has an older record":               {record: Record{Phase: PhaseNamed, Era: 1}, sinceEra: ClaimTTL},
+		"the copy has an own claim":                  {record: Record{Phase: PhaseClaimed, Holder: "me", Era: 1}, sinceEra: ClaimTTL},
+		"all claims of the older era have expired":   {record: Record{Phase: PhaseNamed, Era: 1}, sinceEra: claimTakeoverDelay + 1, want: true},
+		"the record is confirmed in the store's era": {record: Record{Phase: PhaseNamed, Era: 2}, want: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			era := StoreEra{Era: 2, Since: now.Add(-tt.sinceEra)}
+			is.Equal(MayClaim(VersionedRecord{Record: tt.record}, "me", era, now), tt.want)
+		})
+	}
+}
+
+// TestRecordProvesNothingAfterRestore reads a record that a restore of the store may have
+// put back: the primary that it names, or its absence, proves nothing.
+func TestRecordProvesNothingAfterRestore(t *testing.T) {
+	tests := map[string]struct {
+		known VersionedRecord
+		want  bool
+	}{
+		"the record is lost":              {},
+		"the copy has an older record":    {known: VersionedRecord{Record: Record{Phase: PhaseNamed, Term: 2, Era: 1}, Exists: true}},
+		"the record was confirmed since":  {known: VersionedRecord{Record: Record{Phase: PhaseNamed, Term: 2, Era: 2}, Exists: true}, want: true},
+		"it was confirmed, then claimed":  {known: VersionedRecord{Record: Record{Phase: PhaseClaimed, Term: 2, Era: 2}, Exists: true}},
+		"it was confirmed in a later era": {known: VersionedRecord{Record: Record{Phase: PhaseNamed, Term: 2, Era: 3}, Exists: true}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(ConfirmsTerm(tt.known, 2, 2), tt.want)
+		})
+	}
+}
+
+// TestConfirmWaitsForLostClaims checks from when on a proof of the primary is good enough:
+// an instance whose claim the restore lost may still reach its barrier until the claim
+// expires.
+func TestConfirmWaitsForLostClaims(t *testing.T) {
+	seen := bbrtype.Mono(time.Hour)
+	tests := map[string]struct {
+		known VersionedRecord
+		want  bbrtype.Mono
+	}{
+		"the record is lost":            {want: seen.Add(claimTakeoverDelay)},
+		"a late write came after it":    {known: VersionedRecord{FirstReadAt: seen.Add(time.Second)}, want: seen.Add(time.Second + claimTakeoverDelay)},
+		"the record was read before it": {known: VersionedRecord{FirstReadAt: seen.Add(-time.Second)}, want: seen.Add(claimTakeoverDelay)},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(ConfirmableFrom(tt.known, StoreEra{Era: 2, Since: seen}), tt.want)
+		})
+	}
+	is := is.New(t)
+	r := Confirm(VersionedRecord{Record: Record{Phase: PhaseClaimed, FencingToken: 7, Holder: "other", Renewals: 3}}, "m1", 4, 2)
+	is.Equal(r, Record{Phase: PhaseNamed, FencingToken: 7, Holder: "other", Primary: "m1", Term: 4, Era: 2})
+}
