End long polls when any reply shows that the store was restored

What callers saw: after a restore a configuration came into force only when the poll of its table ended, up to 2.5 s later; a group whose record was lost could not be claimed for up to 12 s.

Cause: each table noticed the new era by its own poll only. A client that repeats a poll whose connection broke gets no 410 once the version was given out again, and waits.

Change: the first reply of a newer era, to whichever call, ends the polls that run, and the tables are read again.

--- a/bbrnode/era.go
+++ b/bbrnode/era.go
@@ -1,6 +1,8 @@
 package bbrnode
 
 import (
+	"context"
+
 	"github.com/sirupsen/logrus"
 
 	"github.com/bluebellroute/bluebellroute/bbrrows"
@@ -19,6 +21,13 @@
 	return n.storeEra
 }
 
+// eraContext returns a context that ends when a newer era is seen.
+func (n *Node) eraContext() context.Context {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.eraCtx
+}
+
 // recordEra records the era in a reply of the store.
 func (n *Node) recordEra(era bbrrows.Era) {
 	n.mu.Lock()
@@ -28,6 +37,8 @@
 	}
 	n.log.WithFields(logrus.Fields{"era": era, "before": n.storeEra.Era, "first": n.storeEra.Since == 0}).Warn("new era of the store")
 	n.storeEra = bbrsuccession.StoreEra{Era: era, Since: n.clock.Now()}
+	n.endEra()
+	n.eraCtx, n.endEra = context.WithCancel(context.Background())
 }
 
 // logIgnored logs rows that are not newer than the known ones but differ from them.
--- a/bbrnode/node.go
+++ b/bbrnode/node.go
@@ -121,6 +121,9 @@
 	undecodableMembers map[string]bbrrows.Version
 	// storeEra is the newest era of the store that this instance has seen.
 	storeEra bbrsuccession.StoreEra
+	// eraCtx ends when an era newer than storeEra is seen, by endEra.
+	eraCtx context.Context
+	endEra context.CancelFunc
 	// changing holds the groups whose primary this instance is changing.
 	changing map[bbrtype.GroupName]bool
 	progress map[bbrtype.GroupName]replicationProgress
@@ -140,6 +143,7 @@
 		changing:              map[bbrtype.GroupName]bool{},
 		progress:              map[bbrtype.GroupName]replicationProgress{},
 	}
+	n.eraCtx, n.endEra = context.WithCancel(context.Background())
 	n.sessions = bbrsession.New(bbrsession.Deps{
 		Catalog: &n.catalog, GroupByName: n.group, Clock: n.clock, Log: log, Tasks: n.background, Recorder: n.metrics,
 	})
--- a/bbrnode/watch.go
+++ b/bbrnode/watch.go
@@ -83,23 +83,36 @@
 		n.applyTable(table, rows, version)
 		return &version, nil
 	}
-	batch, err := n.platform.Store.Watch(ctx, table, *cursor, wait)
+	batch, err := n.watch(ctx, table, *cursor, wait)
+	if n.currentEra().Era > cursor.Era {
+		// The numbers after the cursor are given out anew, to changes that this
+		// instance has not seen.
+		return nil, nil
+	}
 	if err != nil {
 		return cursor, err
 	}
-	n.recordEra(batch.NextVersion.Era)
-	n.applyRows(batch.Rows)
-	switch {
-	case batch.NextVersion.Era > cursor.Era:
-		// The numbers before this batch were given out anew, to changes that this
-		// instance has not seen.
-		return nil, nil
-	case cursor.IsNewerThan(batch.NextVersion):
+	if cursor.IsNewerThan(batch.NextVersion) {
 		return cursor, nil
 	}
 	return &batch.NextVersion, nil
 }
 
+// watch waits for changes of a table and applies them. It returns early with an error if
+// the store is found to be in a newer era than the cursor.
+func (n *Node) watch(ctx context.Context, table string, cursor bbrrows.Version, wait time.Duration) (bbrrows.ChangeBatch, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(n.eraContext(), cancel)
+	defer stop()
+	batch, err := n.platform.Store.Watch(ctx, table, cursor, wait)
+	if err == nil {
+		n.recordEra(batch.NextVersion.Era)
+		n.applyRows(batch.Rows)
+	}
+	return batch, err
+}
+
 // setUnavailable records whether reads of a table from the store fail, and returns
 // the previous value.
 func (n *Node) setUnavailable(table string, unavailable bool) bool {
--- /dev/null
+++ b/bbrnode/watch_test.go
@@ -0,0 +1,38 @@
+package bbrnode
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bluebellroute/bluebellroute/bbrrows"
+)
+
+// quietStore is a store whose tables never change.
+type quietStore struct{ bbrrows.Store }
+
+func (quietStore) Watch(ctx context.Context, _ string, after bbrrows.Version, wait time.Duration) (bbrrows.ChangeBatch, error) {
+	select {
+	case <-time.After(wait):
+		return bbrrows.ChangeBatch{NextVersion: after}, nil
+	case <-ctx.Done():
+		return bbrrows.ChangeBatch{}, ctx.Err()
+	}
+}
+
+// TestNewEraEndsLongPolls restores the store while a table is polled: as soon as any reply
+// shows it, the table is read again, without waiting for the end of the poll.
+func TestNewEraEndsLongPolls(t *testing.T) {
+	is := is.New(t)
+	n := newTestNode()
+	n.platform.Store = quietStore{}
+	n.recordEra(1)
+	time.AfterFunc(20*time.Millisecond, func() { n.recordEra(2) })
+	startedAt := time.Now()
+	next, err := n.readTable(context.Background(), groupTable, &bbrrows.Version{Era: 1, Number: 9}, recordPollTimeout)
+	is.NoErr(err)
+	is.True(next == nil) // the whole table is read next
+	is.True(time.Since(startedAt) < time.Second)
+}
