Hold back members' entries that a restore of the store put back

What callers could see: after a restore, requests go to a member that has left or whose drain is over (DRAIN), and a draining member whose entry the copy lacks is dropped at once although it still runs and confirms commits (LOST).

Cause: a row that is new to an instance was taken as newer than what it knew, and a missing row as one that its member removed.

A row that is missing since a restore is marked as lost: its member stays for the usual grace, and the loss is not passed on to other instances, which may still have the row.

--- a/bbrdirectory/directory.go
+++ b/bbrdirectory/directory.go
@@ -8,12 +8,18 @@
 // removed, but Expired still returns it for some time, since its process may be
 // running and only be disconnected from the directory.
 //
+// A directory that is restored from an older copy lists entries as they were: of members
+// that have left since, or that did not drain yet. Such an entry is recognized by its
+// member's own count of entries (see Member.Sequence) and held back, until the member
+// writes its entry again or rewriteTimeout shows that it does not. An entry that the copy
+// lacks counts as missing (see MarkLost), not as removed by its member.
+//
 // The package does no I/O and reads no clock; callers pass the time.
 //
 // # Usage
 //
 //	var d bbrdirectory.Directory
-//	d.Put(member)
+//	d.Put(member, now)
 //	d.MarkMissing(id, now)
 //	d.Expire(now)
 //	members := d.Members("orders")
@@ -50,6 +56,8 @@
 	// StartedAtMs is the start time of the member's process, in Unix milliseconds, 0 if
 	// unknown.
 	StartedAtMs int64
+	// Sequence counts the entries that the member's process has written, 0 if unknown.
+	Sequence int64
 }
 
 // entry is the state of a registered member.
@@ -72,18 +80,37 @@
 type Directory struct {
 	entries map[bbrtype.MemberName]*entry
 	expired map[bbrtype.MemberName]expiredMember
+	// departed are the members that drained and whose entries were removed.
+	departed map[bbrtype.MemberName]departedMember
+	// heldBack are entries that are older than what is known of their members.
+	heldBack map[bbrtype.MemberName]Member
+	// restoredAt is when the directory was last found to be restored, 0 if never.
+	restoredAt bbrtype.Mono
 	// readFailedAt is the time of the last failed read of the directory.
 	readFailedAt bbrtype.Mono
 }
 
 // Put adds a member or replaces its entry. A missing or expired member counts as
-// registered again.
-func (d *Directory) Put(m Member) {
+// registered again. For rewriteTimeout after a restore of the directory, an entry that is
+// older than what is known of the member is held back. Put reports whether the entry is in use.
+func (d *Directory) Put(m Member, now bbrtype.Mono) bool {
+	if d.isOutdated(m, now) {
+		d.holdBack(m)
+		return false
+	}
+	d.put(m)
+	return true
+}
+
+// put adds a member or replaces its entry.
+func (d *Directory) put(m Member) {
 	if d.entries == nil {
 		d.entries = map[bbrtype.MemberName]*entry{}
 	}
 	d.entries[m.ID] = &entry{member: m}
 	delete(d.expired, m.ID)
+	delete(d.departed, m.ID)
+	delete(d.heldBack, m.ID)
 }
 
 // RecordReadFailure records that reading the directory failed. Members with
@@ -93,15 +120,20 @@
 // MarkMissing records that a member's entry is missing. A draining member is removed at
 // once; any other member stays in use for missingGrace.
 func (d *Directory) MarkMissing(id bbrtype.MemberName, now bbrtype.Mono) {
-	e := d.entries[id]
-	if e == nil {
-		return
-	}
-	if e.member.Draining {
+	delete(d.heldBack, id)
+	if e := d.entries[id]; e != nil && e.member.Draining {
 		delete(d.entries, id)
+		d.recordDeparted(e.member, now)
 		return
 	}
-	if e.missingSince == 0 {
+	d.MarkLost(id, now)
+}
+
+// MarkLost records that a member's entry is missing since the directory was restored from
+// an older copy. The member stays in use for missingGrace, in which it writes its entry
+// again.
+func (d *Directory) MarkLost(id bbrtype.MemberName, now bbrtype.Mono) {
+	if e := d.entries[id]; e != nil && e.missingSince == 0 {
 		e.missingSince = now
 	}
 }
@@ -112,7 +144,7 @@
 	seen := map[bbrtype.MemberName]bool{}
 	for _, m := range all {
 		seen[m.ID] = true
-		d.Put(m)
+		d.Put(m, now)
 	}
 	for id := range d.entries {
 		if !seen[id] {
@@ -122,10 +154,11 @@
 }
 
 // Expire removes members whose entries have been missing for longer than
-// missingGrace, and drops expired members after expiredRetention. It reports
-// whether anything changed.
+// missingGrace, drops expired members after expiredRetention, and takes entries into use
+// that were held back (see Put). It reports whether anything changed.
 func (d *Directory) Expire(now bbrtype.Mono) bool {
-	changed := false
+	changed := d.releaseHeldBack(now)
+	d.forgetDeparted(now)
 	for id, e := range d.entries {
 		if e.missingSince != 0 && now.Sub(e.missingSince) > missingGrace && now.Sub(d.readFailedAt) > missingGrace {
 			delete(d.entries, id)
--- a/bbrdirectory/directory_test.go
+++ b/bbrdirectory/directory_test.go
@@ -36,10 +36,10 @@
 		"address reused by another member": {run: func(d *Directory) {
 			d.MarkMissing("m1", start)
 			d.Expire(start.Add(missingGrace + 1))
-			d.Put(Member{ID: "m2", Group: "g", Address: "a"})
+			d.Put(Member{ID: "m2", Group: "g", Address: "a"}, start)
 		}, inUse: 1},
 		"missing while draining": {run: func(d *Directory) {
-			d.Put(Member{ID: "m1", Group: "g", Address: "a", Draining: true})
+			d.Put(Member{ID: "m1", Group: "g", Address: "a", Draining: true}, start)
 			d.MarkMissing("m1", start)
 		}, inUse: 0},
 		"reads of the directory still fail": {run: func(d *Directory) {
@@ -50,7 +50,7 @@
 		}, inUse: 1},
 		"registered again within the grace period": {run: func(d *Directory) {
 			d.MarkMissing("m1", start)
-			d.Put(m)
+			d.Put(m, start)
 			d.Expire(start.Add(time.Hour))
 		}, inUse: 1},
 		"missing from a complete listing": {run: func(d *Directory) {
@@ -62,7 +62,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			var d Directory
-			d.Put(m)
+			d.Put(m, start)
 			tt.run(&d)
 			is.Equal(len(d.Members("g")), tt.inUse)
 			is.Equal(len(d.Expired("g")), tt.expired)
--- a/bbrnode/era.go
+++ b/bbrnode/era.go
@@ -36,7 +36,11 @@
 		return
 	}
 	n.log.WithFields(logrus.Fields{"era": era, "before": n.storeEra.Era, "first": n.storeEra.Since == 0}).Warn("new era of the store")
-	n.storeEra = bbrsuccession.StoreEra{Era: era, Since: n.clock.Now()}
+	now := n.clock.Now()
+	if n.storeEra.Since != 0 {
+		n.directory.RecordRestore(now)
+	}
+	n.storeEra = bbrsuccession.StoreEra{Era: era, Since: now}
 	n.endEra()
 	n.eraCtx, n.endEra = context.WithCancel(context.Background())
 }
--- a/bbrnode/node.go
+++ b/bbrnode/node.go
@@ -203,19 +203,28 @@
 
 // applyMember applies a change of a member's entry. n.mu must be held.
 func (n *Node) applyMember(r bbrrows.Row) {
-	if r.Deleted {
-		n.log.WithField("member", r.Key).Info("member's entry gone")
-		n.directory.MarkMissing(bbrtype.MemberName(r.Key), n.clock.Now())
+	id := bbrtype.MemberName(r.Key)
+	switch {
+	case r.Lost:
+		n.log.WithField("member", id).Info("member's entry lost by a restore of the store")
+		n.directory.MarkLost(id, n.clock.Now())
+		return
+	case r.Deleted:
+		n.log.WithField("member", id).Info("member's entry gone")
+		n.directory.MarkMissing(id, n.clock.Now())
 		return
 	}
 	m, ok := n.decodeMember(r)
 	if !ok {
 		return
 	}
-	if m.Draining {
-		n.log.WithFields(versionFields(r.Version)).WithField("member", m.ID).Info("member draining")
+	log := n.log.WithFields(versionFields(r.Version)).WithFields(logrus.Fields{"member": id, "draining": m.Draining, "sequence": m.Sequence})
+	switch {
+	case !n.directory.Put(m, n.clock.Now()):
+		log.Info("member's entry held back: a newer one is known")
+	case m.Draining:
+		log.Info("member draining")
 	}
-	n.directory.Put(m)
 }
 
 // decodeMember decodes a member's entry. An entry that cannot be decoded is skipped,
--- a/bbrrows/mirror.go
+++ b/bbrrows/mirror.go
@@ -57,7 +57,8 @@
 
 // ApplySnapshot applies a snapshot of a table that was read at a version, and returns the
 // rows that changed. A stored row that is missing from the snapshot is marked as deleted,
-// unless it is newer than the snapshot.
+// unless it is newer than the snapshot. If the snapshot is of a newer era of the store, the
+// row is marked as lost as well.
 func (m *Mirror) ApplySnapshot(table string, rows []Row, version Version) []Row {
 	seen := map[string]bool{}
 	for _, r := range rows {
@@ -66,7 +67,7 @@
 	changes := rows
 	for key, r := range m.tables[table] {
 		if !seen[key] && !r.Deleted && !r.Version.IsNewerThan(version) {
-			changes = append(changes, Row{RowKey: r.RowKey, Version: version, Deleted: true})
+			changes = append(changes, Row{RowKey: r.RowKey, Version: version, Deleted: true, Lost: version.Era > r.Version.Era})
 		}
 	}
 	return m.Apply(changes)
@@ -76,11 +77,11 @@
 func (m *Mirror) Version(table string) Version { return m.maxVersions[table] }
 
 // ChangedSince returns the rows of a table that are newer than a version, deleted rows
-// included.
+// included, but not lost ones: who still has a row that the store has lost keeps it.
 func (m *Mirror) ChangedSince(table string, version Version) []Row {
 	var out []Row
 	for _, r := range m.tables[table] {
-		if r.Version.IsNewerThan(version) {
+		if r.Version.IsNewerThan(version) && !r.Lost {
 			out = append(out, r)
 		}
 	}
--- a/bbrrows/mirror_test.go
+++ b/bbrrows/mirror_test.go
@@ -65,6 +65,7 @@
 		changed := m.ApplySnapshot("t", []Row{inEra(2, "a", 3, "kept")}, Version{Era: 2, Number: 4})
 		is.Equal(len(changed), 2)
 		is.Equal(changed[1].Key, "b")
-		is.True(changed[1].Deleted)
+		is.True(changed[1].Deleted && changed[1].Lost)
+		is.Equal(len(m.ChangedSince("t", Version{})), 1)
 	})
 }
--- a/bbrrows/rows.go
+++ b/bbrrows/rows.go
@@ -45,6 +45,9 @@
 	Version Version
 	// Deleted marks a row that was deleted. Read returns no such rows.
 	Deleted bool
+	// Lost is set with Deleted if the row was not removed by a write, but is missing
+	// since the store was restored.
+	Lost bool
 }
 
 // ConditionalWrite is an atomic conditional write: either all of it is applied or nothing.
