Register instances again in each era of the store

What callers could see: after a restore the instances divide the members' connections among the wrong number: one that registered in the lost seconds is not counted and finds members full (MAXCONN), one that left in them counts for good and takes a share with it. Both kinds are also wrong as proof delegates and in the ranks of inspections.

Cause: an entry that was written once, or removed once, was taken to stay so.

Change: an entry names the era in which it was written, and each instance that runs writes its own again in each era, spread over 2 s. Entries of older eras count for 20 s more. An entry without an era, of an earlier version of the program, always counts. Registration has a file of its own.

--- a/bbrnode/maintain.go
+++ b/bbrnode/maintain.go
@@ -18,12 +18,6 @@
 	// maintainInterval is the interval between two maintenance passes over the
 	// groups.
 	maintainInterval = 100 * time.Millisecond
-	// minListInterval is the interval between the first two reads of the list of
-	// instances. It is short because many instances may have started at the same
-	// time. Once the instance is registered, the interval doubles with each read up
-	// to maxListInterval.
-	minListInterval = 500 * time.Millisecond
-	maxListInterval = 20 * time.Second
 	// sampleMaxAge is the age of the newest sample of the primary's position above
 	// which a new sample is taken.
 	sampleMaxAge = 1100 * time.Millisecond
--- a/bbrnode/node.go
+++ b/bbrnode/node.go
@@ -327,39 +327,3 @@
 	}
 	return false
 }
-
-// register writes the instance's entry to the store, and reads the list of instances
-// at intervals.
-func (n *Node) register(ctx context.Context) {
-	self := bbrrows.RowKey{Table: instanceTable, Key: n.settings.Name}
-	entry, err := json.Marshal(instanceEntry{DataCentre: n.settings.DataCentre, Address: n.settings.PeerAddress})
-	if err != nil {
-		n.log.WithError(err).Error("cannot encode the instance's entry; the instance is not registered")
-		return
-	}
-	registered := false
-	for interval := minListInterval; ctx.Err() == nil; interval = min(2*interval, maxListInterval) {
-		if !registered {
-			_, err := n.platform.Store.Write(ctx, bbrrows.ConditionalWrite{Set: map[bbrrows.RowKey][]byte{self: entry}})
-			registered = err == nil
-		}
-		if rows, _, err := n.platform.Store.Read(ctx, instanceTable); err == nil {
-			n.applyInstances(rows)
-		}
-		if !registered {
-			interval = minListInterval
-		}
-		bbrtype.Sleep(ctx, interval)
-	}
-}
-
-// unregister removes the instance's entry from the store, so that the other
-// instances take over its share of the members' connections.
-func (n *Node) unregister(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
-	self := bbrrows.RowKey{Table: instanceTable, Key: n.settings.Name}
-	if _, err := n.platform.Store.Write(ctx, bbrrows.ConditionalWrite{Delete: []bbrrows.RowKey{self}}); err != nil {
-		n.log.WithError(err).Warn("cannot remove the instance's entry from the store")
-	}
-}
--- a/bbrnode/peer.go
+++ b/bbrnode/peer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"time"
 
@@ -10,7 +9,6 @@
 
 	"github.com/bluebellroute/bluebellroute/bbrlink"
 	"github.com/bluebellroute/bluebellroute/bbrrendezvous"
-	"github.com/bluebellroute/bluebellroute/bbrrows"
 	"github.com/bluebellroute/bluebellroute/bbrshare"
 	"github.com/bluebellroute/bluebellroute/bbrtype"
 )
@@ -32,32 +30,6 @@
 	pullRowsInterval = 250 * time.Millisecond
 )
 
-// instanceEntry is the entry of an instance in the store.
-type instanceEntry struct {
-	DataCentre bbrtype.DataCentre `json:"dataCentre"`
-	// Address is where the instance serves requests of other instances.
-	Address string `json:"address"`
-}
-
-// applyInstances applies the list of instances that was read from the store.
-func (n *Node) applyInstances(rows []bbrrows.Row) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.listedInstanceCount.Store(int64(len(rows)))
-	n.peers = n.peers[:0]
-	for _, r := range rows {
-		var e instanceEntry
-		if err := json.Unmarshal(r.Value, &e); err != nil {
-			n.log.WithField("instance", r.Key).WithError(err).Warn("entry left out")
-			continue
-		}
-		if e.Address != "" && e.Address != n.settings.PeerAddress {
-			n.peers = append(n.peers, e)
-		}
-	}
-	n.refreshGroups()
-}
-
 // randomPeer returns the address of another instance, chosen at random from those
 // that the store lists, or from the seeds if it lists none.
 func (n *Node) randomPeer() (string, bool) {
--- /dev/null
+++ b/bbrnode/register.go
@@ -0,0 +1,155 @@
+package bbrnode
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/bluebellroute/bluebellroute/bbrrows"
+	"github.com/bluebellroute/bluebellroute/bbrsuccession"
+	"github.com/bluebellroute/bluebellroute/bbrtype"
+)
+
+const (
+	// minListInterval is the interval between the first two reads of the list of
+	// instances. It is short because many instances may have started at the same
+	// time. Once the instance is registered, the interval doubles with each read up
+	// to maxListInterval.
+	minListInterval = 500 * time.Millisecond
+	maxListInterval = 20 * time.Second
+	// registerSpread is the time over which the instances spread their registrations
+	// when the store is in a new era.
+	registerSpread = 2 * time.Second
+	// registerTimeout is how long after the beginning of an era of the store an entry of
+	// an older era counts. An instance that runs has registered again by then, unless it
+	// cannot reach the store.
+	registerTimeout = 20 * time.Second
+)
+
+// instanceEntry is the entry of an instance in the store.
+type instanceEntry struct {
+	DataCentre bbrtype.DataCentre `json:"dataCentre"`
+	// Address is where the instance serves requests of other instances.
+	Address string `json:"address"`
+	// Era is the era of the store in which the instance registered.
+	Era bbrrows.Era `json:"era,omitempty"`
+}
+
+// counts reports whether an entry is one of an instance that may run. Each instance
+// registers again in each era of the store, because a restore may lose its entry, and put
+// back the entry of one that has left. An entry without an era always counts.
+func (e instanceEntry) counts(era bbrsuccession.StoreEra, now bbrtype.Mono) bool {
+	return e.Era == 0 || e.Era >= era.Era || now.Sub(era.Since) <= registerTimeout
+}
+
+// register writes the instance's entry to the store, again in each era of the store, and
+// reads the list of instances at intervals.
+func (n *Node) register(ctx context.Context) {
+	registered := false
+	registeredEra := bbrrows.Era(0)
+	for interval := minListInterval; ctx.Err() == nil; interval = min(2*interval, maxListInterval) {
+		if n.currentEra().Since == 0 {
+			n.listInstances(ctx) // to learn the era
+		}
+		eraCtx := n.eraContext()
+		if era := n.currentEra().Era; !registered || era != registeredEra {
+			registered, registeredEra = n.writeEntry(ctx, era), era
+		}
+		n.listInstances(ctx)
+		if !registered {
+			interval = minListInterval
+		}
+		if n.sleepInEra(ctx, eraCtx, interval) {
+			interval = minListInterval
+			bbrtype.Sleep(ctx, rand.N(registerSpread))
+		}
+	}
+}
+
+// listInstances reads the list of instances from the store.
+func (n *Node) listInstances(ctx context.Context) {
+	rows, version, err := n.platform.Store.Read(ctx, instanceTable)
+	if err != nil {
+		n.log.WithError(err).Debug("cannot read the list of instances")
+		return
+	}
+	n.recordEra(version.Era)
+	n.applyInstances(rows)
+}
+
+// writeEntry writes the instance's entry and reports whether it is written. An instance
+// that stops writes none.
+func (n *Node) writeEntry(ctx context.Context, era bbrrows.Era) bool {
+	if n.isStopping() {
+		return false
+	}
+	entry, err := json.Marshal(instanceEntry{DataCentre: n.settings.DataCentre, Address: n.settings.PeerAddress, Era: era})
+	if err != nil {
+		n.log.WithError(err).Error("cannot encode the instance's entry; the instance is not registered")
+		return false
+	}
+	version, err := n.platform.Store.Write(ctx, bbrrows.ConditionalWrite{Set: map[bbrrows.RowKey][]byte{n.entryKey(): entry}})
+	if err != nil {
+		n.log.WithError(err).Info("cannot register the instance yet")
+		return false
+	}
+	n.recordEra(version.Era)
+	return version.Era == era
+}
+
+// sleepInEra sleeps, but no longer than the store's era lasts. It reports whether the era
+// ended.
+func (n *Node) sleepInEra(ctx, eraCtx context.Context, d time.Duration) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(eraCtx, cancel)
+	defer stop()
+	bbrtype.Sleep(ctx, d)
+	return eraCtx.Err() != nil
+}
+
+// entryKey is the key of the instance's own entry.
+func (n *Node) entryKey() bbrrows.RowKey {
+	return bbrrows.RowKey{Table: instanceTable, Key: n.settings.Name}
+}
+
+func (n *Node) isStopping() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.stopping
+}
+
+// unregister removes the instance's entry from the store, so that the other
+// instances take over its share of the members' connections.
+func (n *Node) unregister(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	if _, err := n.platform.Store.Write(ctx, bbrrows.ConditionalWrite{Delete: []bbrrows.RowKey{n.entryKey()}}); err != nil {
+		n.log.WithError(err).Warn("cannot remove the instance's entry from the store")
+	}
+}
+
+// applyInstances applies the list of instances that was read from the store.
+func (n *Node) applyInstances(rows []bbrrows.Row) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	count := len(rows)
+	n.peers = n.peers[:0]
+	for _, r := range rows {
+		var e instanceEntry
+		if err := json.Unmarshal(r.Value, &e); err != nil {
+			n.log.WithField("instance", r.Key).WithError(err).Warn("entry left out")
+			continue
+		}
+		if !e.counts(n.storeEra, n.clock.Now()) {
+			count--
+			continue
+		}
+		if e.Address != "" && e.Address != n.settings.PeerAddress {
+			n.peers = append(n.peers, e)
+		}
+	}
+	n.listedInstanceCount.Store(int64(count))
+	n.refreshGroups()
+}
