Keep late writes of an older era of the store from taking effect

Cause: the version that a conditional write expects was taken as one that no other state of the row ever has. After a restore the store gives the number out again.

Change: each write of a record also expects the row of the store's era in the table eras. The first write of an era replaces the row of the older one, so the condition of an older write never holds again. A store without eras needs no guard.

Evidence: by test. TestLateWriteOfOldEra failed before (the late write was made) and passes. The tests of records and registrations share a store in memory that can be restored.

--- a/bbrnode/node.go
+++ b/bbrnode/node.go
@@ -123,6 +123,8 @@
 	storeEra bbrsuccession.StoreEra
 	// eraCtx ends when an era newer than storeEra is seen, by endEra.
 	eraCtx context.Context
+	// guard is the guard of the era in which this instance last wrote a record.
+	guard  eraGuard
 	endEra context.CancelFunc
 	// changing holds the groups whose primary this instance is changing.
 	changing map[bbrtype.GroupName]bool
--- a/bbrnode/record.go
+++ b/bbrnode/record.go
@@ -35,10 +35,15 @@
 		return known, errStoreRestored
 	}
 	row := bbrrows.RowKey{Table: groupTable, Key: string(group)}
-	version, err := n.platform.Store.Write(ctx, bbrrows.ConditionalWrite{
-		ExpectedVersions: map[bbrrows.RowKey]bbrrows.Version{row: known.ExpectedVersion()},
-		Set:              map[bbrrows.RowKey][]byte{row: value},
-	})
+	expected := map[bbrrows.RowKey]bbrrows.Version{row: known.ExpectedVersion()}
+	if era != 0 {
+		guard, err := n.guardOf(ctx, era)
+		if err != nil {
+			return known, errors.Wrap(err, "read the guard of the store's era")
+		}
+		expected[guard.row] = guard.version
+	}
+	version, err := n.platform.Store.Write(ctx, bbrrows.ConditionalWrite{ExpectedVersions: expected, Set: map[bbrrows.RowKey][]byte{row: value}})
 	if err != nil {
 		if version, err = n.readBackRecord(ctx, group, r, err); err != nil {
 			return known, err
--- a/bbrnode/record_test.go
+++ b/bbrnode/record_test.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
 	"github.com/bluebellroute/bluebellroute/bbrlink"
 	"github.com/bluebellroute/bluebellroute/bbrmessage"
@@ -15,46 +15,16 @@
 	"github.com/bluebellroute/bluebellroute/bbrtype"
 )
 
-// recordStore is a store that holds the record of the group "orders", or none.
-type recordStore struct {
-	bbrrows.Store
-	record  *bbrsuccession.Record
-	version bbrrows.Version
-}
-
-func (s *recordStore) Read(context.Context, string) ([]bbrrows.Row, bbrrows.Version, error) {
-	if s.record == nil {
-		return nil, s.version, nil
-	}
-	value, err := json.Marshal(s.record)
-	row := bbrrows.Row{RowKey: bbrrows.RowKey{Table: groupTable, Key: "orders"}, Value: value, Version: s.version}
-	return []bbrrows.Row{row}, s.version, err
-}
-
-func (s *recordStore) Write(_ context.Context, c bbrrows.ConditionalWrite) (bbrrows.Version, error) {
-	for row, value := range c.Set {
-		if (c.ExpectedVersions[row].Number != 0) != (s.record != nil) {
-			return s.version, bbrrows.ErrConflict
-		}
-		s.record = &bbrsuccession.Record{}
-		if err := json.Unmarshal(value, s.record); err != nil {
-			return s.version, err
-		}
-	}
-	s.version.Number++
-	return s.version, nil
-}
-
 // newRecordNode returns an instance that uses the first of three members as the primary
-// of term 1, and read the store in era 1.
-func newRecordNode(store bbrrows.Store) (*Node, *bbrlink.Group) {
+// of term 1, and has read the store.
+func newRecordNode(store *memoryStore) (*Node, *bbrlink.Group) {
 	status := bbrmessage.MemberStatus{Role: bbrmessage.RoleReplica, Term: 1}
 	members := &fakeMembers{statuses: map[bbrtype.MemberName]bbrmessage.MemberStatus{
 		"old": {Role: bbrmessage.RolePrimary, Term: 1}, "r1": status, "r2": status,
 	}}
 	n, g := newFailoverNode(members, store)
 	n.loaded[groupTable] = true
-	n.recordEra(1)
+	n.recordEra(store.version.Era)
 	g.SetPrimary(bbrlink.Primary{Member: "old", Term: 1})
 	return n, g
 }
@@ -63,21 +33,25 @@
 // copy shows no failover does not prove the old primary.
 func TestNoProofByRecordOfOldEra(t *testing.T) {
 	tests := map[string]struct {
-		restored *bbrsuccession.Record
+		beforeCopy *bbrsuccession.Record
 	}{
 		"the copy has no record":       {},
-		"the copy has an older record": {restored: &bbrsuccession.Record{Phase: bbrsuccession.PhaseNamed, Primary: "old", Term: 1, Era: 1}},
+		"the copy has an older record": {beforeCopy: &bbrsuccession.Record{Phase: bbrsuccession.PhaseNamed, Primary: "old", Term: 1, Era: 1}},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			claim := bbrsuccession.Claim(bbrsuccession.VersionedRecord{}, "other", 1)
-			store := &recordStore{record: &claim, version: bbrrows.Version{Era: 1, Number: 9}}
+			store := &memoryStore{version: bbrrows.Version{Era: 1}}
+			if tt.beforeCopy != nil {
+				store.put(is, groupTable, "orders", tt.beforeCopy)
+			}
+			c := store.copy()
+			store.put(is, groupTable, "orders", bbrsuccession.Claim(bbrsuccession.VersionedRecord{}, "other", 1))
 			n, g := newRecordNode(store)
 			_ = n.proveFromStore(context.Background())
 			is.True(!g.IsProvenAt(g.Primary(), n.clock.Now()))
 
-			store.record, store.version = tt.restored, bbrrows.Version{Era: 2, Number: 4}
+			store.restore(c)
 			is.Equal(n.proveFromStore(context.Background()), errRecordUnconfirmed) // so the members are asked
 			is.True(!g.IsProvenAt(g.Primary(), n.clock.Now()))
 		})
@@ -88,8 +62,9 @@
 // is proven after all claims of the older era have expired.
 func TestRecordConfirmedAfterRestore(t *testing.T) {
 	is := is.New(t)
-	store := &recordStore{version: bbrrows.Version{Era: 2, Number: 4}}
+	store := &memoryStore{version: bbrrows.Version{Era: 1}}
 	n, g := newRecordNode(store)
+	store.restore(&memoryStore{})
 	_ = n.proveFromStore(context.Background())
 	p := g.Primary()
 	is.True(!n.isConfirmDue(g, p, n.clock.Now())) // not proven
@@ -100,6 +75,43 @@
 	n.storeEra.Since = n.storeEra.Since.Add(-time.Minute)
 	is.True(n.isConfirmDue(g, p, n.clock.Now()))
 	n.confirmRecord(context.Background(), g, p)
-	is.Equal(*store.record, bbrsuccession.Record{Phase: bbrsuccession.PhaseNamed, Primary: "old", Term: 1, Era: 2})
+	is.Equal(*store.record(is), bbrsuccession.Record{Phase: bbrsuccession.PhaseNamed, Primary: "old", Term: 1, Era: 2})
 	is.True(!n.isConfirmDue(g, p, n.clock.Now()))
 }
+
+// TestLateWriteOfOldEra makes a write of a record late, after a restore, when the store has
+// given out again the version that the write expects: the write must not take effect.
+func TestLateWriteOfOldEra(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := &memoryStore{version: bbrrows.Version{Era: 1}}
+	a, _ := newRecordNode(store)
+	named := bbrsuccession.Record{Phase: bbrsuccession.PhaseNamed, Primary: "old", Term: 1, Era: 1}
+	known, err := a.writeRecord(ctx, "orders", bbrsuccession.VersionedRecord{}, named)
+	is.NoErr(err)
+	c := store.copy()
+	known, err = a.writeRecord(ctx, "orders", known, bbrsuccession.Claim(known, "a", 1))
+	is.NoErr(err)
+
+	var late bbrrows.ConditionalWrite
+	store.intercept = func(w bbrrows.ConditionalWrite) error {
+		late = w
+		return errors.New("no reply")
+	}
+	_, err = a.writeRecord(ctx, "orders", known, bbrsuccession.Record{Phase: bbrsuccession.PhaseNamed, Primary: "r1", Term: 2, Era: 1})
+	is.True(err != nil)
+	store.intercept = nil
+
+	store.restore(c)
+	b, _ := newRecordNode(store)
+	rows, version, err := store.Read(ctx, groupTable)
+	is.NoErr(err)
+	b.applyTable(groupTable, rows, version)
+	claimed, err := b.writeRecord(ctx, "orders", b.knownRecord("orders"), bbrsuccession.Claim(b.knownRecord("orders"), "b", 2))
+	is.NoErr(err)
+	row := bbrrows.RowKey{Table: groupTable, Key: "orders"}
+	late.ExpectedVersions[row] = claimed.Version // as if the number had been given out before
+	_, err = store.Write(ctx, late)
+	is.Equal(err, bbrrows.ErrConflict)
+	is.Equal(store.record(is).Holder, "b")
+}
--- a/bbrnode/register_test.go
+++ b/bbrnode/register_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"sync"
 	"testing"
 	"time"
 
@@ -12,53 +11,17 @@
 	"github.com/bluebellroute/bluebellroute/bbrrows"
 )
 
-// listStore is a store of instances' entries that can be restored.
-type listStore struct {
-	bbrrows.Store
-	mu      sync.Mutex
-	rows    map[string]bbrrows.Row
-	version bbrrows.Version
-}
-
-func (s *listStore) Read(context.Context, string) ([]bbrrows.Row, bbrrows.Version, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var out []bbrrows.Row
-	for _, r := range s.rows {
-		out = append(out, r)
-	}
-	return out, s.version, nil
-}
-
-func (s *listStore) Write(_ context.Context, c bbrrows.ConditionalWrite) (bbrrows.Version, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.version.Number++
-	for k, v := range c.Set {
-		s.rows[k.Key] = bbrrows.Row{RowKey: k, Value: v, Version: s.version}
-	}
-	return s.version, nil
-}
-
-// restore puts the store back to a copy that has only an entry of an instance that left.
-func (s *listStore) restore(gone bbrrows.Row) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.rows = map[string]bbrrows.Row{gone.Key: gone}
-	s.version.Era++
-}
-
-// entries returns the entries of the store.
-func (s *listStore) entries(is *is.I) map[string]instanceEntry {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := map[string]instanceEntry{}
-	for key, r := range s.rows {
-		var e instanceEntry
-		is.NoErr(json.Unmarshal(r.Value, &e))
-		out[key] = e
+// entryEra returns the era of an instance's entry in a store, 0 if there is none.
+func entryEra(is *is.I, store *memoryStore, name string) bbrrows.Era {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	row, ok := store.rows[bbrrows.RowKey{Table: instanceTable, Key: name}]
+	if !ok {
+		return 0
 	}
-	return out
+	var e instanceEntry
+	is.NoErr(json.Unmarshal(row.Value, &e))
+	return e.Era
 }
 
 // TestRegisteredAgainAfterRestore restores the store to a copy that lacks the instance's
@@ -66,20 +29,20 @@
 // no longer counts once registerTimeout has passed.
 func TestRegisteredAgainAfterRestore(t *testing.T) {
 	is := is.New(t)
-	store := &listStore{rows: map[string]bbrrows.Row{}, version: bbrrows.Version{Era: 1}}
+	store := &memoryStore{version: bbrrows.Version{Era: 1}}
+	store.put(is, instanceTable, "gone", instanceEntry{Address: "10.0.0.2:1", Era: 1})
+	c := store.copy()
 	n := newTestNode()
 	n.settings.Name, n.settings.PeerAddress = "i1", "10.0.0.1:1"
 	n.platform.Store = store
 	ctx, cancel := context.WithCancel(context.Background())
 	n.runAsync(func() { n.register(ctx) })
 	defer func() { cancel(); _ = n.background.Wait() }()
-	waitUntil(t, func() bool { return store.entries(is)["i1"].Era == 1 })
+	waitUntil(t, func() bool { return entryEra(is, store, "i1") == 1 })
 
-	value, err := json.Marshal(instanceEntry{Address: "10.0.0.2:1", Era: 1})
-	is.NoErr(err)
-	store.restore(bbrrows.Row{RowKey: bbrrows.RowKey{Table: instanceTable, Key: "gone"}, Value: value})
+	store.restore(c)
 	n.recordEra(2) // another call shows the new era
-	waitUntil(t, func() bool { return store.entries(is)["i1"].Era == 2 })
+	waitUntil(t, func() bool { return entryEra(is, store, "i1") == 2 })
 	waitUntil(t, func() bool { return n.instanceCount() == 2 }) // the other one may still run
 
 	n.mu.Lock()
