Confirm the records of all groups in one write, and read the list less in a new era

Cause: each confirmed record woke all instances that follow the table, and every proof that could not come from an unconfirmed record read the store again; the list of instances was read from the shortest interval on in each era.

Change: an instance gathers the proofs of all groups and confirms their records in one write, by rank, so that the number of writes grows with neither instances nor groups (TestRecordsConfirmedTogether). While no record is confirmed the store is not read for proofs. In a new era the list is read after the own registration and 5 s later.

--- a/bbrnode/change.go
+++ b/bbrnode/change.go
@@ -182,7 +182,7 @@
 // in c.known.
 func (c *primaryChange) writeRecord(ctx context.Context, r bbrsuccession.Record) error {
 	sentAt := c.node.clock.Now()
-	known, err := c.node.writeRecord(ctx, c.group.Name(), c.known, r)
+	known, err := c.node.writeRecord(ctx, recordWrite{group: c.group.Name(), known: c.known, record: r})
 	if err != nil {
 		return err
 	}
--- a/bbrnode/maintain.go
+++ b/bbrnode/maintain.go
@@ -4,12 +4,9 @@
 	"context"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/bluebellroute/bluebellroute/bbrlink"
 	"github.com/bluebellroute/bluebellroute/bbrmessage"
 	"github.com/bluebellroute/bluebellroute/bbrproof"
-	"github.com/bluebellroute/bluebellroute/bbrrows"
 	"github.com/bluebellroute/bluebellroute/bbrsuccession"
 	"github.com/bluebellroute/bluebellroute/bbrtype"
 )
@@ -33,20 +30,13 @@
 	// series with each inspection and would never have watched the replicas for long
 	// enough.
 	observationMaxGap = maxInspectInterval + 500*time.Millisecond
-	// storeProofTimeout bounds a read of the groups' records by which proofs are
-	// renewed.
-	storeProofTimeout = 350 * time.Millisecond
-	// delegateStoreProofInterval is the least interval between two reads for proofs
-	// by the proof delegate of a data centre (see proofDelegate), storeProofInterval
-	// is the least interval for the other instances.
-	delegateStoreProofInterval = 300 * time.Millisecond
-	storeProofInterval         = time.Second
 )
 
 // maintainGroups drops members whose entries are gone, closes unused connections and
 // starts the tasks that are due for each group, until ctx ends.
 func (n *Node) maintainGroups(ctx context.Context) {
 	schedules := map[bbrtype.GroupName]*inspectionSchedule{}
+	confirm := &confirmSchedule{}
 	for ctx.Err() == nil {
 		n.mu.Lock()
 		if n.directory.Expire(n.clock.Now()) {
@@ -62,6 +52,7 @@
 			}
 			n.maintainGroup(ctx, g, s)
 		}
+		n.confirmRecords(ctx, confirm)
 		bbrtype.Sleep(ctx, maintainInterval)
 	}
 }
@@ -79,8 +70,6 @@
 		n.runAsync(func() { n.findPrimary(ctx, g) })
 	case p.Member != "" && needsInspection && s.isDue(n.inspectionRank(g.Name()), now):
 		n.runAsync(func() { n.inspectPrimary(ctx, g, p) })
-	case p.Member != "" && s.isDue(0, now) && n.isConfirmDue(g, p, now):
-		n.runAsync(func() { n.confirmRecord(ctx, g, p) })
 	case p.Member != "" && n.isReplyOverdue(g, p.Member) && s.isDue(0, now):
 		n.runAsync(func() { _, _ = g.QueryStatus(ctx, p.Member) })
 	case !needsInspection && now.Sub(g.NewestSampleAt()) > sampleMaxAge && s.isDue(0, now):
@@ -245,47 +234,3 @@
 	defer n.mu.Unlock()
 	return n.loaded[table]
 }
-
-// proveFromStore reads the groups' records from the store, and renews the proof of
-// the primary of each group whose record shows that no change of primary has begun.
-// Concurrent calls share one read, which covers all groups, and nothing is read if
-// the last read is recent.
-func (n *Node) proveFromStore(ctx context.Context) error {
-	interval := delegateStoreProofInterval
-	if _, isOther := n.proofDelegate(); isOther {
-		interval = storeProofInterval
-	}
-	return n.storeProofFlight.doUnlessRecent(ctx, n.clock.Now(), interval, func(ctx context.Context) error {
-		ctx, cancel := context.WithTimeout(ctx, storeProofTimeout)
-		defer cancel()
-		sentAt := n.clock.Now()
-		rows, version, err := n.platform.Store.Read(ctx, groupTable)
-		if err != nil {
-			return err
-		}
-		n.recordEra(version.Era)
-		n.applyRows(rows)
-		return n.proveByRecords(version.Era, sentAt)
-	})
-}
-
-// errRecordUnconfirmed means that the record of a group is not confirmed in the store's
-// era. Only the group's members can prove its primary then.
-var errRecordUnconfirmed = errors.New("a group's record is not confirmed since the store was restored")
-
-// proveByRecords renews the proofs of all groups by their records, which were read in an
-// era of the store by a request sent at sentAt.
-func (n *Node) proveByRecords(era bbrrows.Era, sentAt bbrtype.Mono) error {
-	var err error
-	for _, g := range n.allGroups() {
-		p := g.Primary()
-		known := n.knownRecord(g.Name())
-		if bbrsuccession.ConfirmsTerm(known, era, p.Term) {
-			g.RecordStoreProof(p.Term, sentAt)
-		}
-		if !known.IsConfirmedIn(era) {
-			err = errRecordUnconfirmed
-		}
-	}
-	return err
-}
--- /dev/null
+++ b/bbrnode/prove.go
@@ -0,0 +1,78 @@
+package bbrnode
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bluebellroute/bluebellroute/bbrsuccession"
+)
+
+const (
+	// storeProofTimeout bounds a read of the groups' records by which proofs are
+	// renewed.
+	storeProofTimeout = 350 * time.Millisecond
+	// delegateStoreProofInterval is the least interval between two reads for proofs
+	// by the proof delegate of a data centre (see proofDelegate), storeProofInterval
+	// is the least interval for the other instances.
+	delegateStoreProofInterval = 300 * time.Millisecond
+	storeProofInterval         = time.Second
+)
+
+// errRecordUnconfirmed means that the record of a group is not confirmed in the store's
+// era. Only the group's members can prove its primary then.
+var errRecordUnconfirmed = errors.New("a group's record is not confirmed since the store was restored")
+
+// proveFromStore reads the groups' records from the store, and renews the proof of
+// the primary of each group whose record shows that no change of primary has begun.
+// Concurrent calls share one read, which covers all groups, and nothing is read if
+// the last read is recent or if no record can prove anything.
+func (n *Node) proveFromStore(ctx context.Context) error {
+	if _, all := n.unconfirmedRecords(); all {
+		return errRecordUnconfirmed
+	}
+	interval := delegateStoreProofInterval
+	if _, isOther := n.proofDelegate(); isOther {
+		interval = storeProofInterval
+	}
+	err := n.storeProofFlight.doUnlessRecent(ctx, n.clock.Now(), interval, n.proveByRecords)
+	if some, _ := n.unconfirmedRecords(); err == nil && some {
+		return errRecordUnconfirmed
+	}
+	return err
+}
+
+// proveByRecords reads the groups' records and renews the proofs of all groups by them.
+func (n *Node) proveByRecords(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeProofTimeout)
+	defer cancel()
+	sentAt := n.clock.Now()
+	rows, version, err := n.platform.Store.Read(ctx, groupTable)
+	if err != nil {
+		return err
+	}
+	n.recordEra(version.Era)
+	n.applyRows(rows)
+	for _, g := range n.allGroups() {
+		p := g.Primary()
+		if bbrsuccession.ConfirmsTerm(n.knownRecord(g.Name()), version.Era, p.Term) {
+			g.RecordStoreProof(p.Term, sentAt)
+		}
+	}
+	return nil
+}
+
+// unconfirmedRecords reports whether the record of any group is not confirmed in the
+// store's era, and whether none is confirmed.
+func (n *Node) unconfirmedRecords() (some, all bool) {
+	groups := n.allGroups()
+	era := n.currentEra()
+	count := 0
+	for _, g := range groups {
+		if !n.knownRecord(g.Name()).IsConfirmedIn(era.Era) {
+			count++
+		}
+	}
+	return count > 0, era.Since != 0 && count > 0 && count == len(groups)
+}
--- a/bbrnode/record_test.go
+++ b/bbrnode/record_test.go
@@ -46,10 +46,12 @@
 				store.put(is, groupTable, "orders", tt.beforeCopy)
 			}
 			c := store.copy()
-			store.put(is, groupTable, "orders", bbrsuccession.Claim(bbrsuccession.VersionedRecord{}, "other", 1))
+			confirmed := bbrsuccession.VersionedRecord{Record: bbrsuccession.Record{Phase: bbrsuccession.PhaseNamed, Primary: "old", Term: 1, Era: 1}}
+			store.put(is, groupTable, "orders", bbrsuccession.Claim(confirmed, "other", 1))
 			n, g := newRecordNode(store)
-			_ = n.proveFromStore(context.Background())
-			is.True(!g.IsProvenAt(g.Primary(), n.clock.Now()))
+			rows, version, err := store.Read(context.Background(), groupTable)
+			is.NoErr(err)
+			n.applyTable(groupTable, rows, version)
 
 			store.restore(c)
 			is.Equal(n.proveFromStore(context.Background()), errRecordUnconfirmed) // so the members are asked
@@ -65,18 +67,22 @@
 	store := &memoryStore{version: bbrrows.Version{Era: 1}}
 	n, g := newRecordNode(store)
 	store.restore(&memoryStore{})
-	_ = n.proveFromStore(context.Background())
+	n.recordEra(2)
 	p := g.Primary()
-	is.True(!n.isConfirmDue(g, p, n.clock.Now())) // not proven
+	writes, unconfirmed := n.confirmableRecords(n.clock.Now())
+	is.Equal(len(writes), 0) // not proven
+	is.Equal(unconfirmed, 1)
 
 	g.RecordStoreProof(p.Term, n.clock.Now())
-	is.True(!n.isConfirmDue(g, p, n.clock.Now())) // claims of the older era may be valid
+	writes, _ = n.confirmableRecords(n.clock.Now())
+	is.Equal(len(writes), 0) // claims of the older era may be valid
 
 	n.storeEra.Since = n.storeEra.Since.Add(-time.Minute)
-	is.True(n.isConfirmDue(g, p, n.clock.Now()))
-	n.confirmRecord(context.Background(), g, p)
+	n.confirmRecords(context.Background(), &confirmSchedule{})
+	_ = n.background.Wait()
 	is.Equal(*store.record(is), bbrsuccession.Record{Phase: bbrsuccession.PhaseNamed, Primary: "old", Term: 1, Era: 2})
-	is.True(!n.isConfirmDue(g, p, n.clock.Now()))
+	_, unconfirmed = n.confirmableRecords(n.clock.Now())
+	is.Equal(unconfirmed, 0)
 }
 
 // TestLateWriteOfOldEra makes a write of a record late, after a restore, when the store has
@@ -87,10 +93,10 @@
 	store := &memoryStore{version: bbrrows.Version{Era: 1}}
 	a, _ := newRecordNode(store)
 	named := bbrsuccession.Record{Phase: bbrsuccession.PhaseNamed, Primary: "old", Term: 1, Era: 1}
-	known, err := a.writeRecord(ctx, "orders", bbrsuccession.VersionedRecord{}, named)
+	known, err := a.writeRecord(ctx, recordWrite{group: "orders", record: named})
 	is.NoErr(err)
 	c := store.copy()
-	known, err = a.writeRecord(ctx, "orders", known, bbrsuccession.Claim(known, "a", 1))
+	known, err = a.writeRecord(ctx, recordWrite{group: "orders", known: known, record: bbrsuccession.Claim(known, "a", 1)})
 	is.NoErr(err)
 
 	var late bbrrows.ConditionalWrite
@@ -98,7 +104,7 @@
 		late = w
 		return errors.New("no reply")
 	}
-	_, err = a.writeRecord(ctx, "orders", known, bbrsuccession.Record{Phase: bbrsuccession.PhaseNamed, Primary: "r1", Term: 2, Era: 1})
+	_, err = a.writeRecord(ctx, recordWrite{group: "orders", known: known, record: bbrsuccession.Record{Phase: bbrsuccession.PhaseNamed, Primary: "r1", Term: 2, Era: 1}})
 	is.True(err != nil)
 	store.intercept = nil
 
@@ -107,7 +113,7 @@
 	rows, version, err := store.Read(ctx, groupTable)
 	is.NoErr(err)
 	b.applyTable(groupTable, rows, version)
-	claimed, err := b.writeRecord(ctx, "orders", b.knownRecord("orders"), bbrsuccession.Claim(b.knownRecord("orders"), "b", 2))
+	claimed, err := b.writeRecord(ctx, recordWrite{group: "orders", known: b.knownRecord("orders"), record: bbrsuccession.Claim(b.knownRecord("orders"), "b", 2)})
 	is.NoErr(err)
 	row := bbrrows.RowKey{Table: groupTable, Key: "orders"}
 	late.ExpectedVersions[row] = claimed.Version // as if the number had been given out before
--- a/bbrnode/register.go
+++ b/bbrnode/register.go
@@ -18,6 +18,8 @@
 	// to maxListInterval.
 	minListInterval = 500 * time.Millisecond
 	maxListInterval = 20 * time.Second
+	// relistInterval is the interval before the list is read again in a new era.
+	relistInterval = 5 * time.Second
 	// registerSpread is the time over which the instances spread their registrations
 	// when the store is in a new era.
 	registerSpread = 2 * time.Second
@@ -48,10 +50,10 @@
 func (n *Node) register(ctx context.Context) {
 	registered := false
 	registeredEra := bbrrows.Era(0)
+	if n.currentEra().Since == 0 {
+		n.sleepInEra(ctx, n.eraContext(), minListInterval)
+	}
 	for interval := minListInterval; ctx.Err() == nil; interval = min(2*interval, maxListInterval) {
-		if n.currentEra().Since == 0 {
-			n.listInstances(ctx) // to learn the era
-		}
 		eraCtx := n.eraContext()
 		if era := n.currentEra().Era; !registered || era != registeredEra {
 			registered, registeredEra = n.writeEntry(ctx, era), era
@@ -61,7 +63,7 @@
 			interval = minListInterval
 		}
 		if n.sleepInEra(ctx, eraCtx, interval) {
-			interval = minListInterval
+			interval = relistInterval
 			bbrtype.Sleep(ctx, rand.N(registerSpread))
 		}
 	}
--- a/bbrnode/schedule.go
+++ b/bbrnode/schedule.go
@@ -60,13 +60,17 @@
 // inspectionRank returns the number of other instances that rank before this one for
 // a group.
 func (n *Node) inspectionRank(g bbrtype.GroupName) int {
+	return n.rank("change/" + string(g))
+}
+
+// rank returns the number of other instances that rank before this one for a task. The
+// key of the task must be the same in all instances.
+func (n *Node) rank(task string) int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	ids := make([]bbrtype.InstanceID, 0, len(n.peers))
 	for _, p := range n.peers {
 		ids = append(ids, bbrtype.InstanceID(p.Address))
 	}
-	// The key "change/" and the group rank the instances for inspections. It must be
-	// the same in all instances.
-	return bbrrendezvous.Rank("change/"+string(g), ids, bbrtype.InstanceID(n.settings.PeerAddress))
+	return bbrrendezvous.Rank(task, ids, bbrtype.InstanceID(n.settings.PeerAddress))
 }
