Let a proof delegate query the members for the instances that pull from it

Cause: while the records prove nothing, as after a restore or while the store is away, a delegate served proofs that were older than the pulling instances accept, so each of them queried all members of all groups itself.

Change: a delegate whose read of the store proves nothing renews old proofs by the members and replies after 60 ms at the latest.

--- a/bbrnode/peer.go
+++ b/bbrnode/peer.go
@@ -17,6 +17,9 @@
 	// fetchProofsTimeout bounds a request for proofs to the proof delegate, which
 	// may read the store before it replies.
 	fetchProofsTimeout = 120 * time.Millisecond
+	// memberProofWait bounds the time for which a proof delegate waits for proofs by the
+	// members before it replies. It is well below fetchProofsTimeout.
+	memberProofWait = 60 * time.Millisecond
 	// proofRenewAge is the age above which the proof delegate renews its proofs
 	// before it replies.
 	proofRenewAge = 400 * time.Millisecond
@@ -121,9 +124,11 @@
 func (n *Node) servePull(ctx context.Context, req bbrshare.Question) bbrshare.Knowledge {
 	groups := n.allGroups()
 	if req.RenewOlder > 0 && n.hasOlderProof(groups, req.RenewOlder) {
-		// If the read fails, the reply contains the existing proofs with their
-		// actual ages.
-		_ = n.proveFromStore(ctx)
+		// If this fails, the reply contains the existing proofs with their actual
+		// ages.
+		if n.proveFromStore(ctx) != nil {
+			n.proveByMembers(ctx, groups, req.RenewOlder)
+		}
 	}
 	var reply bbrshare.Knowledge
 	for _, g := range groups {
@@ -137,6 +142,33 @@
 	return reply
 }
 
+// proveByMembers renews the proofs that are older than age by the groups' members, on
+// behalf of the instances whose proof delegate this one is. It returns after
+// memberProofWait at the latest.
+func (n *Node) proveByMembers(ctx context.Context, groups []*bbrlink.Group, age time.Duration) {
+	waitCtx, cancel := context.WithTimeout(ctx, memberProofWait)
+	defer cancel()
+	done := make(chan struct{}, len(groups))
+	pending := 0
+	for _, g := range groups {
+		if g.ExportProof().ProofAge <= age {
+			continue
+		}
+		pending++
+		n.runAsync(func() {
+			g.ObtainProof(context.WithoutCancel(ctx))
+			done <- struct{}{}
+		})
+	}
+	for ; pending > 0; pending-- {
+		select {
+		case <-done:
+		case <-waitCtx.Done():
+			return
+		}
+	}
+}
+
 // hasOlderProof reports whether the proof of any of the groups is older than age.
 func (n *Node) hasOlderProof(groups []*bbrlink.Group, age time.Duration) bool {
 	for _, g := range groups {
--- a/bbrnode/record_test.go
+++ b/bbrnode/record_test.go
@@ -11,6 +11,7 @@
 	"github.com/bluebellroute/bluebellroute/bbrlink"
 	"github.com/bluebellroute/bluebellroute/bbrmessage"
 	"github.com/bluebellroute/bluebellroute/bbrrows"
+	"github.com/bluebellroute/bluebellroute/bbrshare"
 	"github.com/bluebellroute/bluebellroute/bbrsuccession"
 	"github.com/bluebellroute/bluebellroute/bbrtype"
 )
@@ -121,3 +122,14 @@
 	is.Equal(err, bbrrows.ErrConflict)
 	is.Equal(store.record(is).Holder, "b")
 }
+
+// TestDelegateProvesByMembers pulls proofs from a delegate that cannot prove its groups by
+// their records: it queries the members, once for all instances that pull.
+func TestDelegateProvesByMembers(t *testing.T) {
+	is := is.New(t)
+	n, g := newRecordNode(&memoryStore{version: bbrrows.Version{Era: 1}})
+	g.ProveFromStore, g.FetchPeerProofs = n.proveFromStore, n.fetchPeerProofs
+	reply := n.servePull(context.Background(), bbrshare.Question{RenewOlder: proofRenewAge})
+	is.Equal(len(reply.Groups), 1)
+	is.True(reply.Groups[0].ProofAge < time.Second)
+}
