--- a/bbrsoak/plan.go
+++ b/bbrsoak/plan.go
@@ -52,6 +52,9 @@
 	KindPrimaryLeaves Kind = "primaryLeaves"
 	// KindConfigure applies a configuration.
 	KindConfigure Kind = "configure"
+	// KindStoreRestored lets the store lose, at the end of the fault, what was written
+	// since its beginning.
+	KindStoreRestored Kind = "storeRestored"
 )
 
 // Kinds are all kinds that both dialects know.
@@ -60,6 +63,10 @@
 	KindPrimaryCut, KindReplicaCut, KindDelay, KindReset, KindPrimaryLeaves, KindConfigure,
 }
 
+// PlatformKinds are the kinds that the users' platform adds. A plan has them only if they
+// are named, so that the plans of known seeds stay as they are.
+var PlatformKinds = []Kind{KindStoreRestored}
+
 // Fault is one fault of a plan.
 type Fault struct {
 	Kind Kind `json:"kind"`
--- a/cmd/bbrsoak/main.go
+++ b/cmd/bbrsoak/main.go
@@ -105,9 +105,13 @@
 
 func planOptions(cmd *cli.Command) (bbrsoak.Options, error) {
 	o := bbrsoak.Options{Instances: cmd.Int("instances"), Members: cmd.Int("members"), Span: cmd.Duration("span")}
+	kinds := bbrsoak.Kinds
+	if cmd.String("dialect") == dialectPlatform {
+		kinds = slices.Concat(kinds, bbrsoak.PlatformKinds)
+	}
 	for _, k := range cmd.StringSlice("kind") {
-		if !slices.Contains(bbrsoak.Kinds, bbrsoak.Kind(k)) {
-			return o, errors.Errorf("--kind %s: no such kind; there are %v", k, bbrsoak.Kinds)
+		if !slices.Contains(kinds, bbrsoak.Kind(k)) {
+			return o, errors.Errorf("--kind %s: no such kind; there are %v", k, kinds)
 		}
 		o.Only = append(o.Only, bbrsoak.Kind(k))
 	}
