Read a table soon after the store says that it has lost the changes

Cause: after an outage the pause before the next call had grown to 1 s, and the answer 410 counted as one more failure.

Change: the pause begins anew, since the store answers.

--- a/bbrnode/watch.go
+++ b/bbrnode/watch.go
@@ -61,6 +61,7 @@
 		if errors.Is(err, bbrrows.ErrCompacted) && cursor != nil {
 			log.WithFields(versionFields(*cursor)).Info("the store no longer has the changes after this version; reading the whole table")
 			cursor = nil
+			pause = minStoreBackoff
 		} else if !n.setUnavailable(t.name, true) {
 			log.WithError(err).Warn("store lost")
 		}
