--- a/bbrnode/collector.go
+++ b/bbrnode/collector.go
@@ -10,6 +10,7 @@
 	instancesDesc        = prometheus.NewDesc("bbr_node_instances", "Instances that the store lists.", nil, nil)
 	tableUnavailableDesc = prometheus.NewDesc("bbr_node_table_lost", "1 while the store does not answer for a table.", []string{"table"}, nil)
 	storeEraDesc         = prometheus.NewDesc("bbr_node_store_era", "Newest era of the store that was seen; it rises each time the store is restored.", nil, nil)
+	unconfirmedDesc      = prometheus.NewDesc("bbr_node_groups_unconfirmed", "Groups whose records are not confirmed in the store's era.", nil, nil)
 	waitingDesc          = prometheus.NewDesc("bbr_node_group_waiting", "Statements that wait for a member.", []string{"group"}, nil)
 	connectionsDesc      = prometheus.NewDesc("bbr_node_group_connections", "Open connections to members.", []string{"group"}, nil)
 	termDesc             = prometheus.NewDesc("bbr_node_group_term", "Term of the primary in use, 0 if none is known.", []string{"group"}, nil)
@@ -21,7 +22,7 @@
 
 // Describe implements prometheus.Collector.
 func (c collector) Describe(out chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{versionDesc, sessionsDesc, instancesDesc, tableUnavailableDesc, storeEraDesc, waitingDesc, connectionsDesc, termDesc, proofAgeDesc} {
+	for _, d := range []*prometheus.Desc{versionDesc, sessionsDesc, instancesDesc, tableUnavailableDesc, storeEraDesc, unconfirmedDesc, waitingDesc, connectionsDesc, termDesc, proofAgeDesc} {
 		out <- d
 	}
 }
@@ -45,6 +46,8 @@
 		gauge(tableUnavailableDesc, value, t.name)
 	}
 	gauge(storeEraDesc, float64(n.currentEra().Era))
+	_, unconfirmed := n.confirmableRecords(n.clock.Now())
+	gauge(unconfirmedDesc, float64(unconfirmed))
 	for _, g := range n.allGroups() {
 		name := string(g.Name())
 		waiting, connections := g.Stats()
--- a/bbrnode/node.go
+++ b/bbrnode/node.go
@@ -150,6 +150,9 @@
 		Catalog: &n.catalog, GroupByName: n.group, Clock: n.clock, Log: log, Tasks: n.background, Recorder: n.metrics,
 	})
 	m.registry.MustRegister(collector{n})
+	for _, t := range n.followedTables() {
+		m.ignoredRows.WithLabelValues(t.name) // shown as 0 until a row is ignored
+	}
 	return n
 }
 
