End a change of primary that a restore of the store overtakes

What callers could see: the group of such a change got no other primary through this instance any more, and its record was not confirmed by it.

Cause: the write of the new primary was repeated until it succeeded or met another version, under a version of the older era, which can never succeed again.

Change: the change ends; the record is confirmed later, or the next change begins.

TestChangeEndsAfterRestore/the_write_takes_effect_in_the_new_era failed before (the context ended after 10 s) and passes.

--- a/bbrnode/change.go
+++ b/bbrnode/change.go
@@ -282,7 +282,8 @@
 }
 
 // completeChange puts the new primary into use and writes it to the group's record,
-// with retries until the write succeeds, another change has begun or ctx ends. After
+// with retries until the write succeeds, another change has begun, the store was restored
+// or ctx ends. After
 // a successful write it resumes replication.
 func (c *primaryChange) completeChange(ctx context.Context, choice bbrsuccession.Choice) error {
 	record := c.known.Record
@@ -295,7 +296,7 @@
 	c.group.SetPrimary(bbrlink.Primary{Member: choice.Member, Term: choice.Term})
 	c.log.WithFields(logrus.Fields{"member": choice.Member, "term": choice.Term, "tookMs": c.node.clock.Now().Sub(c.startedAt).Milliseconds()}).Info("change of primary done")
 	err := c.writeRecord(ctx, record)
-	for err != nil && !errors.Is(err, bbrrows.ErrConflict) && ctx.Err() == nil {
+	for err != nil && !errors.Is(err, bbrrows.ErrConflict) && !errors.Is(err, errStoreRestored) && ctx.Err() == nil {
 		c.log.WithError(err).Warn("cannot write the new primary to the group's record; retrying")
 		bbrtype.Sleep(ctx, maxStoreBackoff)
 		err = c.writeRecord(ctx, record)
--- a/bbrnode/change_test.go
+++ b/bbrnode/change_test.go
@@ -42,6 +42,25 @@
 	return false
 }
 
+// pauseReplicas lets all replicas report that they have paused replication under a term.
+func (f *fakeMembers) pauseReplicas(term bbrtype.Term) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, s := range f.statuses {
+		if s.Role == bbrmessage.RoleReplica {
+			s.PausedTerm = term
+			f.statuses[id] = s
+		}
+	}
+}
+
+// lead lets a member report that it leads a term.
+func (f *fakeMembers) lead(id bbrtype.MemberName, term bbrtype.Term) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.statuses[id] = bbrmessage.MemberStatus{Role: bbrmessage.RolePrimary, Term: term, Received: bbrmessage.LogPosition{Term: term, Index: 1}}
+}
+
 // fakeConn is a connection to a fake member.
 type fakeConn struct {
 	members *fakeMembers
--- a/bbrnode/record_test.go
+++ b/bbrnode/record_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -19,6 +20,12 @@
 // newRecordNode returns an instance that uses the first of three members as the primary
 // of term 1, and has read the store.
 func newRecordNode(store *memoryStore) (*Node, *bbrlink.Group) {
+	n, g, _ := newRecordNodeWithMembers(store)
+	return n, g
+}
+
+// newRecordNodeWithMembers is newRecordNode, and returns the members as well.
+func newRecordNodeWithMembers(store *memoryStore) (*Node, *bbrlink.Group, *fakeMembers) {
 	status := bbrmessage.MemberStatus{Role: bbrmessage.RoleReplica, Term: 1}
 	members := &fakeMembers{statuses: map[bbrtype.MemberName]bbrmessage.MemberStatus{
 		"old": {Role: bbrmessage.RolePrimary, Term: 1}, "r1": status, "r2": status,
@@ -27,7 +34,7 @@
 	n.loaded[groupTable] = true
 	n.recordEra(store.version.Era)
 	g.SetPrimary(bbrlink.Primary{Member: "old", Term: 1})
-	return n, g
+	return n, g, members
 }
 
 // TestNoProofByRecordOfOldEra restores the store to a copy from before a claim: that the
@@ -133,3 +140,48 @@
 	is.Equal(len(reply.Groups), 1)
 	is.True(reply.Groups[0].ProofAge < time.Second)
 }
+
+// TestChangeEndsAfterRestore restores the store while a change of primary writes the new
+// primary: the change ends, so that the instance can begin another one.
+func TestChangeEndsAfterRestore(t *testing.T) {
+	tests := map[string]struct {
+		// takesEffect is set if the store makes the write in the new era.
+		takesEffect bool
+	}{
+		"the write is rejected":                 {},
+		"the write takes effect in the new era": {takesEffect: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			store := &memoryStore{version: bbrrows.Version{Era: 1}}
+			n, g, members := newRecordNodeWithMembers(store)
+			n.storeEra.Since = n.storeEra.Since.Add(-time.Minute)
+			members.pauseReplicas(2)
+			n.platform.Promoter = fakePromoter(func() error {
+				members.lead("r1", 2)
+				return nil
+			})
+			store.intercept = func(w bbrrows.ConditionalWrite) error {
+				var r bbrsuccession.Record
+				_ = json.Unmarshal(w.Set[recordKey("orders")], &r)
+				if r.Phase != bbrsuccession.PhaseNamed {
+					return nil
+				}
+				store.version.Era = 2
+				n.recordEra(2)
+				if tt.takesEffect {
+					return nil
+				}
+				return bbrrows.ErrConflict
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			n.changePrimary(ctx, g, g.Primary(), "test")
+			_ = n.background.Wait()
+			is.NoErr(ctx.Err())
+			is.Equal(g.Primary().Member, bbrtype.MemberName("r1"))
+			is.True(n.beginChange("orders"))
+		})
+	}
+}
