Do not apply replies from before a restore that is known

Cause: a whole read whose reply came from an older era was applied, and its version was polled from: rows that the newer era has could be taken as missing, and the next change was noticed only at the end of a poll of up to 12 s.

Change: such a reply is an error, after which the table is read again with the usual pause. A version of an older era is not polled from.

TestReplyOfOlderEra failed before (no error) and passes.

--- a/bbrnode/watch.go
+++ b/bbrnode/watch.go
@@ -71,23 +71,24 @@
 	}
 }
 
+// errOlderEra means that a reply comes from before a restore of the store that this
+// instance already knows of.
+var errOlderEra = errors.New("the reply is of an older era of the store")
+
 // readTable reads the whole table if cursor is nil, and otherwise waits for changes
 // after cursor, for at most the duration wait. It returns the version to continue from,
 // nil to read the whole table next.
 func (n *Node) readTable(ctx context.Context, table string, cursor *bbrrows.Version, wait time.Duration) (*bbrrows.Version, error) {
 	if cursor == nil {
-		rows, version, err := n.platform.Store.Read(ctx, table)
-		if err != nil {
-			return nil, err
-		}
-		n.log.WithFields(versionFields(version)).WithFields(logrus.Fields{"table": table, "rows": len(rows)}).Info("whole table read")
-		n.applyTable(table, rows, version)
-		return &version, nil
+		return n.readWhole(ctx, table)
+	}
+	// In a newer era the numbers after the cursor are given out anew, to changes that
+	// this instance has not seen.
+	if n.currentEra().Era > cursor.Era {
+		return nil, nil
 	}
 	batch, err := n.watch(ctx, table, *cursor, wait)
 	if n.currentEra().Era > cursor.Era {
-		// The numbers after the cursor are given out anew, to changes that this
-		// instance has not seen.
 		return nil, nil
 	}
 	if err != nil {
@@ -99,6 +100,21 @@
 	return &batch.NextVersion, nil
 }
 
+// readWhole reads a whole table and returns the version to continue from.
+func (n *Node) readWhole(ctx context.Context, table string) (*bbrrows.Version, error) {
+	rows, version, err := n.platform.Store.Read(ctx, table)
+	if err != nil {
+		return nil, err
+	}
+	n.recordEra(version.Era)
+	if version.Era < n.currentEra().Era {
+		return nil, errOlderEra
+	}
+	n.log.WithFields(versionFields(version)).WithFields(logrus.Fields{"table": table, "rows": len(rows)}).Info("whole table read")
+	n.applyTable(table, rows, version)
+	return &version, nil
+}
+
 // watch waits for changes of a table and applies them. It returns early with an error if
 // the store is found to be in a newer era than the cursor.
 func (n *Node) watch(ctx context.Context, table string, cursor bbrrows.Version, wait time.Duration) (bbrrows.ChangeBatch, error) {
--- a/bbrnode/watch_test.go
+++ b/bbrnode/watch_test.go
@@ -36,3 +36,22 @@
 	is.True(next == nil) // the whole table is read next
 	is.True(time.Since(startedAt) < time.Second)
 }
+
+// TestReplyOfOlderEra reads a table from a store that replies from before a restore that
+// this instance already knows of: the reply is not applied, and the next read waits.
+func TestReplyOfOlderEra(t *testing.T) {
+	is := is.New(t)
+	n := newTestNode()
+	store := &memoryStore{version: bbrrows.Version{Era: 1}}
+	store.put(is, groupTable, "orders", "old")
+	n.platform.Store = store
+	n.recordEra(2)
+	_, err := n.readTable(context.Background(), groupTable, nil, recordPollTimeout)
+	is.Equal(err, errOlderEra)
+	is.True(!n.hasLoaded(groupTable))
+
+	// A cursor of the older era is not polled from either.
+	next, err := n.readTable(context.Background(), groupTable, &bbrrows.Version{Era: 1, Number: 9}, recordPollTimeout)
+	is.NoErr(err)
+	is.True(next == nil)
+}
