Hold a commit back that a primary of a missed term acknowledges

What callers saw: a read on a route of the primary lacked an acknowledged commit (STALE).

Cause: a member was replaced and promoted again while an instance still used it as the primary of the first term. The instance passed its commits on at once, while others still had proofs of the primary in between. That an instance knows a primary by its name was taken for knowing its term. A restore that loses the record of the change in between lets an instance miss it for seconds, but any store trouble can.

Change: a commit whose position shows a newer term than the one in use makes the term known and is passed on after the time of a lease, like the first commits after any change that an instance finds out by itself. A commit of a primary that is not usable yet waits as well.

TestCommitOfUnknownTerm/of_a_term_that_was_missed fails without the change.

--- a/bbrlink/group.go
+++ b/bbrlink/group.go
@@ -245,6 +245,11 @@
 func (g *Group) SetPrimary(p Primary) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.setPrimaryLocked(p)
+}
+
+// setPrimaryLocked is SetPrimary without the lock. The caller holds mu.
+func (g *Group) setPrimaryLocked(p Primary) {
 	if p.Member == g.primary.Member && p.Term == g.primary.Term {
 		return
 	}
--- a/bbrlink/reply.go
+++ b/bbrlink/reply.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/bluebellroute/bluebellroute/bbrmessage"
+	"github.com/bluebellroute/bluebellroute/bbrproof"
 	"github.com/bluebellroute/bluebellroute/bbrtype"
 )
 
@@ -24,8 +25,9 @@
 
 // RecordReply updates the health and the log position of a member from a reply. For
 // the primary it also records acknowledged commits; if the group has synchronous
-// replicas, such a commit is a proof.
-func (g *Group) RecordReply(c *Conn, r ReplyRecord) {
+// replicas, such a commit is a proof. It returns the time from which the reply may be
+// passed on, see commitUsableFrom.
+func (g *Group) RecordReply(c *Conn, r ReplyRecord) (usableFrom bbrtype.Mono) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Clock.Now()
@@ -40,13 +42,14 @@
 		case bbrmessage.ClassReadOnly:
 			g.recordDemotion(id, now)
 		}
-		return
+		return 0
 	}
 	g.scheduler.RecordReply(id, now.Sub(r.SentAt), r.Reply.Position, now)
 	if id != g.primary.Member {
-		return
+		return 0
 	}
 	if r.IsWriteCommit {
+		usableFrom = g.commitUsableFrom(r.Reply.Position.Term, now)
 		g.stalledSince, g.lastCommitSentAt = 0, max(g.lastCommitSentAt, r.SentAt)
 		g.lastAcked = bbrmessage.LaterPosition(g.lastAcked, r.Reply.Position)
 	}
@@ -54,6 +57,18 @@
 		g.recordProof(proofByCommit, g.primary.Term, r.SentAt)
 	}
 	g.proof.AddSample(r.Reply.Position, r.SentAt)
+	return usableFrom
+}
+
+// commitUsableFrom returns the time from which a commit of the primary in use may be
+// acknowledged. If the reply shows a newer term, the member was replaced and leads again
+// without this instance knowing: other instances may hold proofs of the primary in
+// between, which have to expire first. The caller holds mu.
+func (g *Group) commitUsableFrom(term bbrtype.Term, now bbrtype.Mono) bbrtype.Mono {
+	if term > g.primary.Term {
+		g.setPrimaryLocked(Primary{Member: g.primary.Member, Term: term, UsableFrom: now.Add(bbrproof.LeaseDuration)})
+	}
+	return g.primary.UsableFrom
 }
 
 // recordDemotion records the time of the first reply in which the primary in use
--- a/bbrlink/reply_test.go
+++ b/bbrlink/reply_test.go
@@ -8,7 +8,9 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/bluebellroute/bluebellroute/bbrdirectory"
 	"github.com/bluebellroute/bluebellroute/bbrmessage"
+	"github.com/bluebellroute/bluebellroute/bbrproof"
 	"github.com/bluebellroute/bluebellroute/bbrtype"
 )
 
@@ -76,3 +78,34 @@
 	is.True(!g.IsProvenAt(old, arrived))
 	is.True(g.IsProvenAt(g.Primary(), arrived))
 }
+
+// TestCommitOfUnknownTerm guards against a stale read at the primary in between: a member
+// that was replaced and leads again acknowledges a commit to an instance that missed both
+// changes. Proofs of the primary in between expire before the commit is passed on.
+func TestCommitOfUnknownTerm(t *testing.T) {
+	tests := map[string]struct {
+		inUse  Primary
+		commit bbrmessage.LogPosition
+		// wantWait is set if the commit has to wait.
+		wantWait bool
+	}{
+		"of the term in use":          {inUse: Primary{Member: "p", Term: 1}, commit: bbrmessage.LogPosition{Term: 1, Index: 9}},
+		"of a term that was missed":   {inUse: Primary{Member: "p", Term: 1}, commit: bbrmessage.LogPosition{Term: 3, Index: 2}, wantWait: true},
+		"of a term not usable so far": {inUse: Primary{Member: "p", Term: 3, UsableFrom: 1 << 62}, commit: bbrmessage.LogPosition{Term: 3, Index: 2}, wantWait: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			clock := bbrtype.NewClock()
+			log := logrus.New()
+			log.SetOutput(io.Discard)
+			g := NewGroup("g", Deps{Clock: clock, Log: log, Instances: func() int { return 1 }})
+			g.SetPrimary(tt.inUse)
+			sentAt := clock.Now()
+			c := &Conn{group: g, member: bbrdirectory.Member{ID: "p"}}
+			usableFrom := g.RecordReply(c, ReplyRecord{SentAt: sentAt, IsWriteCommit: true, Reply: bbrmessage.Reply{Position: tt.commit}})
+			is.Equal(usableFrom >= sentAt.Add(bbrproof.LeaseDuration), tt.wantWait)
+			is.Equal(g.Primary().Term, tt.commit.Term)
+		})
+	}
+}
--- a/bbrsession/statement.go
+++ b/bbrsession/statement.go
@@ -349,13 +349,14 @@
 			e.handleLostReply(conn, sentAt, err)
 			return sess.failureReply(&bbrmessage.Failure{Class: bbrmessage.ClassInDoubt, Text: err.Error()})
 		}
-		e.group.RecordReply(conn, bbrlink.ReplyRecord{SentAt: sentAt, Reply: reply, IsWriteCommit: true})
+		usableFrom := e.group.RecordReply(conn, bbrlink.ReplyRecord{SentAt: sentAt, Reply: reply, IsWriteCommit: true})
 		if reply.Failure != nil && reply.Failure.Class == bbrmessage.ClassNoPreparedStatement {
 			conn.ResetPrepared()
 		}
 		e.group.Release(conn)
 		if reply.Failure == nil {
 			sess.lastWritePosition = bbrmessage.LaterPosition(sess.lastWritePosition, reply.Position)
+			sess.sleepUntil(ctx, usableFrom)
 			return bbrmessage.Reply{Rows: reply.Rows, Signature: reply.Signature, State: bbrmessage.StateIdle}
 		}
 		if !wasRejected(reply.Failure.Class) || !e.waitToRetry(ctx, retryDelay) {
@@ -364,6 +365,13 @@
 	}
 }
 
+// sleepUntil sleeps until the given time, or until ctx ends.
+func (sess *session) sleepUntil(ctx context.Context, t bbrtype.Mono) {
+	if d := t.Sub(sess.server.Clock.Now()); d > 0 {
+		bbrtype.Sleep(ctx, d)
+	}
+}
+
 func busyFailure(text string) *bbrmessage.Failure {
 	return &bbrmessage.Failure{Class: bbrmessage.ClassBusy, Text: text}
 }
--- a/bbrsession/transaction.go
+++ b/bbrsession/transaction.go
@@ -20,7 +20,7 @@
 	tx := sess.tx
 	e := sess.newExecution(st, tx.route, tx.group, access, arrivedAt)
 	tx.wrote = tx.wrote || access == bbrmessage.AccessWrite
-	reply, ok := sess.runOnTransactionConn(e)
+	reply, ok := sess.runOnTransactionConn(ctx, e)
 	if !ok {
 		return sess.failTransaction(&bbrmessage.Failure{Class: bbrmessage.ClassAborted, Text: "the connection to the member was lost; the transaction is rolled back"})
 	}
@@ -40,7 +40,7 @@
 
 // runOnTransactionConn runs a statement on the transaction's connection. If the reply
 // is lost, it releases the connection and returns false.
-func (sess *session) runOnTransactionConn(e *execution) (bbrmessage.Reply, bool) {
+func (sess *session) runOnTransactionConn(ctx context.Context, e *execution) (bbrmessage.Reply, bool) {
 	conn := sess.tx.conn
 	text, name := sess.memberText(e.st, conn.Dialect())
 	sentAt := sess.server.Clock.Now()
@@ -57,7 +57,8 @@
 		e.handleLostReply(conn, sentAt, err)
 		return reply, false
 	}
-	e.group.RecordReply(conn, bbrlink.ReplyRecord{SentAt: sentAt, Reply: reply, IsWriteCommit: isCommit && sess.tx.wrote})
+	usableFrom := e.group.RecordReply(conn, bbrlink.ReplyRecord{SentAt: sentAt, Reply: reply, IsWriteCommit: isCommit && sess.tx.wrote})
+	sess.sleepUntil(ctx, usableFrom)
 	return reply, true
 }
 
@@ -130,7 +131,7 @@
 	}
 	tx := sess.tx
 	e := sess.newExecution(st, tx.route, tx.group, bbrmessage.AccessWrite, arrivedAt)
-	reply, ok := sess.runOnTransactionConn(e)
+	reply, ok := sess.runOnTransactionConn(ctx, e)
 	sess.tx = nil
 	if !ok {
 		return sess.failureReply(lostCommitFailure(tx))
