Count a member whose entry a restore lost for a minute

What callers saw: acknowledged commits were not in the log of the member that was promoted (LOST).

Cause: that an entry which is gone for 12 s is gone for good was taken from stores that bring entries back. A member whose heartbeats were lost around a restore went on confirming commits without an entry for more than 12 s, so a change of primary passed it over.

Change: a member that was removed around a restore counts for a minute as one that may confirm commits. Its group takes no other primary meanwhile if the primary fails and the member does not answer.

TestMemberLostByRestore fails without the change (restored before the grace, restored after the removal).

--- a/bbrdirectory/directory.go
+++ b/bbrdirectory/directory.go
@@ -154,7 +154,7 @@
 }
 
 // Expire removes members whose entries have been missing for longer than
-// missingGrace, drops expired members after expiredRetention, and takes entries into use
+// missingGrace, drops expired members after their retention, and takes entries into use
 // that were held back (see Put). It reports whether anything changed.
 func (d *Directory) Expire(now bbrtype.Mono) bool {
 	changed := d.releaseHeldBack(now)
@@ -167,7 +167,7 @@
 		}
 	}
 	for id, x := range d.expired {
-		if now.Sub(x.expiredAt) > expiredRetention {
+		if now.Sub(x.expiredAt) > d.retention(x) {
 			delete(d.expired, id)
 			changed = true
 		}
--- a/bbrdirectory/restore.go
+++ b/bbrdirectory/restore.go
@@ -10,6 +10,9 @@
 	// rewriteTimeout is the time within which a member that runs writes its entry again
 	// after the directory was restored, or the directory drops its entry.
 	rewriteTimeout = 5 * time.Second
+	// restoredRetention is how long Expired returns a member that was removed around a
+	// restore. A member that runs may not notice that the directory has lost its entry.
+	restoredRetention = time.Minute
 	// departedRetention is how long a member that has left is remembered. It exceeds the
 	// age of the copies from which a directory is restored.
 	departedRetention = time.Minute
@@ -46,6 +49,15 @@
 	return m.Sequence > o.Sequence
 }
 
+// retention is how long Expired returns a removed member.
+func (d *Directory) retention(x expiredMember) time.Duration {
+	sinceRestore := x.expiredAt.Sub(d.restoredAt)
+	if d.restoredAt != 0 && sinceRestore > -expiredRetention && sinceRestore < restoredRetention {
+		return restoredRetention
+	}
+	return expiredRetention
+}
+
 // holdBack stores an outdated entry until its member writes it again.
 func (d *Directory) holdBack(m Member) {
 	if d.heldBack == nil {
--- a/bbrdirectory/restore_test.go
+++ b/bbrdirectory/restore_test.go
@@ -77,3 +77,36 @@
 		})
 	}
 }
+
+// TestMemberLostByRestore removes a member whose entry does not come back: it may still
+// confirm commits, for longer if the directory was restored around its removal.
+func TestMemberLostByRestore(t *testing.T) {
+	start := bbrtype.Mono(time.Hour)
+	tests := map[string]struct {
+		// restoredAt is the time of a restore after the entry disappeared, 0 for none.
+		restoredAt, now time.Duration
+		mayRun          bool
+	}{
+		"not restored":               {now: missingGrace + expiredRetention + time.Second},
+		"restored before the grace":  {restoredAt: time.Second, now: missingGrace + expiredRetention + time.Second, mayRun: true},
+		"restored after the removal": {restoredAt: missingGrace + time.Second, now: missingGrace + expiredRetention + time.Second, mayRun: true},
+		"restored long ago":          {restoredAt: time.Second, now: missingGrace + restoredRetention + time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var d Directory
+			d.Put(Member{ID: "m1", Group: "g", Address: "a"}, start)
+			d.MarkMissing("m1", start)
+			if tt.restoredAt != 0 && tt.restoredAt < missingGrace {
+				d.RecordRestore(start.Add(tt.restoredAt))
+			}
+			d.Expire(start.Add(missingGrace + 1))
+			if tt.restoredAt > missingGrace {
+				d.RecordRestore(start.Add(tt.restoredAt))
+			}
+			d.Expire(start.Add(tt.now))
+			is.Equal(len(d.Expired("g")) == 1, tt.mayRun)
+		})
+	}
+}
