Take the context of an era before the era is compared

Cause: an era that ended between the comparison and the start of a poll did not end the poll, which then ran for up to 12 s. Read in the code; the window is too short for a test.

--- a/bbrnode/watch.go
+++ b/bbrnode/watch.go
@@ -82,12 +82,13 @@
 	if cursor == nil {
 		return n.readWhole(ctx, table)
 	}
+	eraCtx := n.eraContext()
 	// In a newer era the numbers after the cursor are given out anew, to changes that
 	// this instance has not seen.
 	if n.currentEra().Era > cursor.Era {
 		return nil, nil
 	}
-	batch, err := n.watch(ctx, table, *cursor, wait)
+	batch, err := n.watch(ctx, eraCtx, table, *cursor, wait)
 	if n.currentEra().Era > cursor.Era {
 		return nil, nil
 	}
@@ -116,11 +117,11 @@
 }
 
 // watch waits for changes of a table and applies them. It returns early with an error if
-// the store is found to be in a newer era than the cursor.
-func (n *Node) watch(ctx context.Context, table string, cursor bbrrows.Version, wait time.Duration) (bbrrows.ChangeBatch, error) {
+// eraCtx ends, that is, if the store is found to be in a newer era.
+func (n *Node) watch(ctx, eraCtx context.Context, table string, cursor bbrrows.Version, wait time.Duration) (bbrrows.ChangeBatch, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stop := context.AfterFunc(n.eraContext(), cancel)
+	stop := context.AfterFunc(eraCtx, cancel)
 	defer stop()
 	batch, err := n.platform.Store.Watch(ctx, table, cursor, wait)
 	if err == nil {
