--- a/bbrnode/node.go
+++ b/bbrnode/node.go
@@ -16,6 +16,10 @@
 // bbrsuccession. While reads of a table from the store fail, the instance pulls the
 // rows of that table from other instances (bbrshare).
 //
+// A store that is restored from a copy begins a new era, which each reply names. The
+// instance then reads all tables again, registers again, and uses the records of the
+// groups once they are confirmed in that era; see docs/design/storeRestore.md.
+//
 // # Usage
 //
 //	err := bbrnode.Run(ctx, settings, platform, log, load, reload)
