--- a/review/trial/main.go
+++ b/review/trial/main.go
@@ -12,6 +12,7 @@
 // cases are the cases by name. Each returns what broke the rule.
 var cases = map[string]func(t *trial, trouble bool) []string{
 	"stale": staleCase,
+	"stop":  stopCase,
 }
 
 func main() { os.Exit(play()) }
