--- a/review/trial/link.go
+++ b/review/trial/link.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -68,12 +70,19 @@
 	return k.mend, k.cut
 }
 
+// serve serves one connection. One that is opened while the link is cut reaches nobody and
+// is reset later. One that is open when the link is cut stays, if it holds bytes of the
+// client; otherwise the client's keep-alive ends it.
 func (k *link) serve(client *net.TCPConn) {
 	defer func() { _ = client.Close() }()
 	mend, _ := k.state()
 	select {
 	case <-mend:
-	case <-time.After(linkKeepAlive):
+	default:
+		select {
+		case <-mend:
+		case <-time.After(linkKeepAlive):
+		}
 		_ = client.SetLinger(0)
 		return
 	}
@@ -84,42 +93,47 @@
 	}
 	server := conn.(*net.TCPConn)
 	defer func() { _ = server.Close() }()
+	var holds atomic.Bool
 	done := make(chan struct{}, 2)
 	k.t.work.Go(func() error {
-		k.pump(server, client)
+		k.pump(server, client, &holds)
 		done <- struct{}{}
 		return nil
 	})
 	k.t.work.Go(func() error {
-		k.pump(client, server)
+		k.pump(client, server, new(atomic.Bool))
 		done <- struct{}{}
 		return nil
 	})
-	for {
+	for ended := 0; ended < 2; {
 		_, cut := k.state()
 		select {
 		case <-done:
-			return
+			ended++
+			continue
 		case <-cut:
 		}
 		mend, _ := k.state()
 		select {
 		case <-mend:
-		case <-done:
-			return
 		case <-time.After(linkKeepAlive):
-			_ = client.SetLinger(0)
-			return
+			if !holds.Load() {
+				_ = client.SetLinger(0)
+				return
+			}
+			<-mend
 		}
 	}
 }
 
 // pump copies from src to dst. Bytes that arrive while the link is cut go on when it is
-// mended.
-func (k *link) pump(dst, src *net.TCPConn) {
+// mended, also if src has closed the connection since, as a kernel sends them again; but
+// not if src has reset it. holds is set meanwhile.
+func (k *link) pump(dst, src *net.TCPConn, holds *atomic.Bool) {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := src.Read(buffer)
+		holds.Store(n > 0)
 		mend, _ := k.state()
 		select {
 		case <-mend:
@@ -127,6 +141,9 @@
 			return
 		}
 		if n > 0 {
+			if isReset(src) {
+				return
+			}
 			if _, err := dst.Write(buffer[:n]); err != nil {
 				return
 			}
@@ -137,3 +154,14 @@
 		}
 	}
 }
+
+// isReset reports whether the other end of a connection has reset it.
+func isReset(c *net.TCPConn) bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return true
+	}
+	failed := 0
+	err = raw.Control(func(fd uintptr) { failed, _ = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ERROR) })
+	return err != nil || failed != 0
+}
--- a/review/trial/main.go
+++ b/review/trial/main.go
@@ -11,8 +11,9 @@
 
 // cases are the cases by name. Each returns what broke the rule.
 var cases = map[string]func(t *trial, trouble bool) []string{
-	"stale": staleCase,
-	"stop":  stopCase,
+	"stale":   staleCase,
+	"stop":    stopCase,
+	"promote": promoteCase,
 }
 
 func main() { os.Exit(play()) }
--- a/review/trial/store.go
+++ b/review/trial/store.go
@@ -31,6 +31,8 @@
 type store struct {
 	address string
 	began   time.Time
+	// onWrite is told of each row that an instance sets, once the answer is on its way.
+	onWrite func(row)
 
 	mu      sync.Mutex
 	rows    map[string]row
@@ -184,6 +186,13 @@
 	}
 	s.apply(c.Set, c.Remove)
 	s.reply(w, http.StatusOK, nil)
+	if s.onWrite != nil {
+		time.AfterFunc(2*time.Millisecond, func() {
+			for _, r := range c.Set {
+				s.onWrite(r)
+			}
+		})
+	}
 }
 
 // promotion is an order that has reached the platform.
