--- a/review/trial/member.go
+++ b/review/trial/member.go
@@ -62,6 +62,16 @@
 	members []*member
 	// commits holds the place of each commit by its request.
 	commits map[string]commit
+	// leaderships are the promotions that have taken effect.
+	leaderships []leadership
+}
+
+// leadership is a promotion that has taken effect, with the commits in the member's log.
+type leadership struct {
+	member string
+	term   uint64
+	at     time.Time
+	has    map[string]bool
 }
 
 // member is one database.
@@ -120,7 +130,7 @@
 func (g *group) add(t *trial, ip, zone string) *member {
 	l, err := net.Listen("tcp", ip+":0")
 	t.must(err)
-	m := &member{group: g, id: fmt.Sprintf("i-%s-%d", g.name, len(g.members)+1), address: l.Addr().String(), zone: zone, slots: make(chan struct{}, g.slots), born: time.Now().UnixMilli()}
+	m := &member{group: g, id: fmt.Sprintf("i-%s-%02d", g.name, 60-len(g.members)), address: l.Addr().String(), zone: zone, slots: make(chan struct{}, g.slots), born: time.Now().UnixMilli()}
 	g.members = append(g.members, m)
 	t.work.Go(func() error {
 		for {
@@ -168,13 +178,19 @@
 }
 
 // drain lets the primary say that it is about to leave.
-func (g *group) drain(t *trial) {
-	m := g.leader()
+func (g *group) drain(t *trial) { g.drainMember(t, g.leader()) }
+
+// drainMember lets a member say that it is about to leave.
+func (g *group) drainMember(t *trial, m *member) {
 	g.mu.Lock()
+	role := "a replica"
+	if m.primary {
+		role = "the primary"
+	}
 	m.draining = true
 	g.mu.Unlock()
 	m.register()
-	t.note("member %s, the primary of %s, says that it is draining", m.id, g.name)
+	t.note("member %s, %s of %s, says that it is draining", m.id, role, g.name)
 }
 
 // leader returns the primary of the newest term.
@@ -283,6 +299,11 @@
 	}
 	old := g.leaderLocked()
 	m.primary, m.term, m.held = true, term+1, 0
+	p := leadership{member: m.id, term: term + 1, at: time.Now(), has: map[string]bool{}}
+	for _, c := range m.log {
+		p.has[c.id] = true
+	}
+	g.leaderships = append(g.leaderships, p)
 	g.mu.Unlock()
 	t.note("member %s leads %s in term %d with log %s", m.id, g.name, term+1, m.last().place())
 	m.register()
--- a/review/trial/store.go
+++ b/review/trial/store.go
@@ -38,7 +38,9 @@
 	rows    map[string]row
 	log     []row
 	version int64
-	changed chan struct{}
+	// forgotten is the version up to which the history is gone.
+	forgotten int64
+	changed   chan struct{}
 }
 
 // newStore starts a store at a loopback address.
@@ -71,11 +73,13 @@
 	s.apply([]row{{Table: table, Key: key, Value: b}}, nil)
 }
 
-// drop removes a row.
-func (s *store) drop(table, key string) {
+// forget discards the history. Feeds that wait for changes after an older version are told.
+func (s *store) forget() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.apply(nil, []row{{Table: table, Key: key}})
+	s.forgotten = s.version
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 // apply makes a change. The caller holds mu.
@@ -132,6 +136,11 @@
 	defer timer.Stop()
 	for over := false; ; {
 		s.mu.Lock()
+		if after < s.forgotten {
+			s.reply(w, http.StatusGone, nil)
+			s.mu.Unlock()
+			return
+		}
 		var out []row
 		for _, have := range s.log {
 			if have.Version > after && have.Table == r.FormValue("table") {
