--- a/review/trial/main.go
+++ b/review/trial/main.go
@@ -14,6 +14,7 @@
 	"stale":   staleCase,
 	"stop":    stopCase,
 	"promote": promoteCase,
+	"turns":   turnsCase,
 }
 
 func main() { os.Exit(play()) }
