--- a/review/trial/promote.go
+++ b/review/trial/promote.go
@@ -33,7 +33,8 @@
 			claims <- record.Holder
 		}
 	}
-	instances := t.startInstances(deployment{zones: zones, bounds: smallBounds,
+	instances := t.startInstances(deployment{
+		zones: zones, bounds: smallBounds,
 		store:    func(i int) string { return toStore[i].address },
 		promoter: func(i int) string { return toPromoter[i].address },
 	})
--- a/review/trial/turns.go
+++ b/review/trial/turns.go
@@ -25,7 +25,8 @@
 		routes = append(routes, route{host: "orders-" + g.name, kind: "primary", service: g.name, timeoutMs: 800, sloMs: 150})
 	}
 	s.put("op", "config", manifest(1, routes, services, maxConnections))
-	instances := t.startInstances(deployment{zones: smallZones, bounds: smallBounds,
+	instances := t.startInstances(deployment{
+		zones: smallZones, bounds: smallBounds,
 		store:    func(int) string { return s.address },
 		promoter: func(int) string { return p.address },
 	})
