Check in the store that no change of primary began before a new one is used at once

Cause: an instance that finds a primary waits for the proofs of the old one to expire, unless the group's record shows that no change of primary has begun. Where its own copy had no record, the instance took that for the answer. Until the first change of primary of a group the copy has none, and it stays so on an instance that the store does not reach, that hears no changes, or that read the table before the change and queried the members afterwards. The instance then used the new primary at once, while others still read from the old one by proofs of one second.

Ruled out: a copy from another instance that counts as read from the store (only whole reads of the store do); proofs by old records (a read of the store carries the time at which it was sent, and a record that is named shows that the proofs of older terms have expired, however old the copy is); claims, releases and confirmations by old copies (the store checks the version); primaries found by the members' statuses, in a newer term of a commit or from a proof delegate (these always wait).

Change: the absence of a record counts only if a read of the store shows it that was sent after the members had replied. Until then the new primary waits like any other; the wait ends early once that read is there. A line in the log says what the read showed.

Cost: one read of the store by each instance that finds primaries without a record, and, where that read fails, one second before it sends statements to the primary.

--- a/bbrlink/group.go
+++ b/bbrlink/group.go
@@ -286,6 +286,18 @@
 	}
 }
 
+// EndWait lets the primary p be used before p.UsableFrom, if it is the primary in use: no
+// proof of a previous primary is valid any more.
+func (g *Group) EndWait(p Primary) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.primary != p {
+		return
+	}
+	g.primary.UsableFrom = 0
+	g.refreshSchedulerLocked()
+}
+
 // Primary returns the primary in use.
 func (g *Group) Primary() Primary {
 	g.mu.Lock()
--- a/bbrnode/change_test.go
+++ b/bbrnode/change_test.go
@@ -28,6 +28,8 @@
 	mu         sync.Mutex
 	statuses   map[bbrtype.MemberName]bbrmessage.MemberStatus
 	statements []string
+	// onStatement, if set, is called with each statement.
+	onStatement func()
 }
 
 // hasReceived reports whether any member has received a statement with a prefix.
@@ -74,6 +76,9 @@
 	c.members.mu.Lock()
 	defer c.members.mu.Unlock()
 	for _, s := range statements {
+		if c.members.onStatement != nil {
+			c.members.onStatement()
+		}
 		c.members.statements = append(c.members.statements, s.Text+" "+string(c.id))
 	}
 	return nil
--- a/bbrnode/maintain.go
+++ b/bbrnode/maintain.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/bluebellroute/bluebellroute/bbrlink"
 	"github.com/bluebellroute/bluebellroute/bbrmessage"
 	"github.com/bluebellroute/bluebellroute/bbrproof"
@@ -101,31 +103,56 @@
 // findPrimary determines the primary from the group's record and from the statuses
 // of all members.
 func (n *Node) findPrimary(ctx context.Context, g *bbrlink.Group) {
-	loaded := n.hasLoaded(groupTable)
-	if !loaded && !n.isUnavailable(groupTable) {
+	if !n.hasLoaded(groupTable) && !n.isUnavailable(groupTable) {
 		return
 	}
-	known := n.knownRecord(g.Name())
-	if r := known.Record; r.Phase == bbrsuccession.PhaseNamed {
-		g.SetPrimary(bbrlink.Primary{Member: r.Primary, Term: r.Term})
-	}
+	n.usePrimaryOfRecord(g)
 	best := bbrsuccession.Candidate{}
 	for _, c := range n.memberStatuses(ctx, g) {
 		if c.Responded && c.Status.Role == bbrmessage.RolePrimary && c.Status.Term >= best.Status.Term {
 			best = c
 		}
 	}
+	foundAt := n.clock.Now()
 	current := g.Primary()
 	if best.ID == "" || best.ID == current.Member || best.Status.Term < current.Term {
 		return
 	}
 	p := bbrlink.Primary{Member: best.ID, Term: best.Status.Term}
-	if !loaded || !bbrsuccession.ConfirmsTerm(known, n.currentEra().Era, p.Term) {
-		// A change of primary may still be running. Proofs of the old primary have
-		// to expire before the new one is used.
-		p.UsableFrom = n.clock.Now().Add(bbrproof.LeaseDuration)
+	known := n.knownRecord(g.Name())
+	if bbrsuccession.NamesTerm(known, n.currentEra().Era, p.Term) {
+		g.SetPrimary(p)
+		return
 	}
+	// A change of primary may still be running. Proofs of the old primary have to
+	// expire before the new one is used.
+	p.UsableFrom = foundAt.Add(bbrproof.LeaseDuration)
 	g.SetPrimary(p)
+	if known.Exists {
+		return
+	}
+	// The copy that shows no record may be older than the first change of primary.
+	if n.storeConfirmsTerm(ctx, g.Name(), p.Term, foundAt) {
+		g.EndWait(p)
+	}
+}
+
+// storeConfirmsTerm reports whether a read of the store that was sent at foundAt or later
+// shows that no change of primary has begun since the primary of a term took over, which
+// was found to lead by then.
+func (n *Node) storeConfirmsTerm(ctx context.Context, name bbrtype.GroupName, term bbrtype.Term, foundAt bbrtype.Mono) bool {
+	err := n.storeProofFlight.doSince(ctx, foundAt, n.clock.Now, n.proveByRecords)
+	known, era := n.knownRecord(name), n.currentEra()
+	isConfirmed := err == nil && bbrsuccession.ConfirmsTerm(known, era.Era, term)
+	log := n.log.WithFields(logrus.Fields{
+		"group": name, "term": term, "confirmed": isConfirmed, "recordExists": known.Exists, "recordTerm": known.Record.Term,
+		"era": era.Era, "tookMs": n.clock.Now().Sub(foundAt).Milliseconds(),
+	})
+	if err != nil {
+		log = log.WithError(err)
+	}
+	log.Info("primary without a record checked in the store")
+	return isConfirmed
 }
 
 // isReplyOverdue reports whether a member has left a statement unanswered for so
--- a/bbrnode/singleflight.go
+++ b/bbrnode/singleflight.go
@@ -43,6 +43,28 @@
 	})
 }
 
+// doSince is like do, but shares only runs that started at since or later: it does nothing
+// if a successful one did, and waits for the end of one that started earlier.
+func (s *singleFlight) doSince(ctx context.Context, since bbrtype.Mono, now func() bbrtype.Mono, work func(context.Context) error) error {
+	for {
+		s.mu.Lock()
+		isDone, f := s.lastSuccessStartedAt >= since, s.current
+		s.mu.Unlock()
+		if isDone {
+			return nil
+		}
+		if f == nil {
+			// A run that others start meanwhile starts after since, too.
+			return s.doUnlessRecent(ctx, now(), 0, work)
+		}
+		select {
+		case <-f.done:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // do runs work. If a run is in progress, it waits for that run instead and returns
 // its error.
 func (s *singleFlight) do(ctx context.Context, work func(context.Context) error) error {
--- a/bbrnode/store_test.go
+++ b/bbrnode/store_test.go
@@ -25,11 +25,16 @@
 	// intercept, if set, gets each write before it is made. If it returns an error, the
 	// write is not made.
 	intercept func(bbrrows.ConditionalWrite) error
+	// readErr, if set, is the error of each read.
+	readErr error
 }
 
 func (s *memoryStore) Read(_ context.Context, table string) ([]bbrrows.Row, bbrrows.Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.readErr != nil {
+		return nil, bbrrows.Version{}, s.readErr
+	}
 	var out []bbrrows.Row
 	for _, r := range s.rows {
 		if r.Table == table {
--- a/bbrsuccession/record.go
+++ b/bbrsuccession/record.go
@@ -131,8 +131,10 @@
 }
 
 // ConfirmsTerm reports whether a record shows that no failover has started since the
-// primary of the given term took over. The primary's name is not compared, because a
-// member that crashed may restart under another name.
+// primary of the given term took over. The record must have been read from the store after
+// that primary was found, because an older copy does not show what has begun since. The
+// primary's name is not compared, because a member that crashed may restart under another
+// name.
 func ConfirmsTerm(current VersionedRecord, era bbrrows.Era, term bbrtype.Term) bool {
 	if !current.IsConfirmedIn(era) {
 		return false
@@ -140,6 +142,13 @@
 	return !current.Exists || current.Record.Phase == PhaseNamed && current.Record.Term == term
 }
 
+// NamesTerm reports whether a record names the primary of the given term, so that the
+// leases on its predecessors have expired. Unlike the absence of a record, this holds
+// however old the copy of the record is.
+func NamesTerm(known VersionedRecord, era bbrrows.Era, term bbrtype.Term) bool {
+	return known.Exists && ConfirmsTerm(known, era, term)
+}
+
 // ConfirmableFrom returns the time from which a proof of the primary (see bbrproof) is
 // good enough to confirm a record in the store's era: all claims that a restore may have
 // lost, or that the restored copy still shows, have expired by then.
