End transactions that have a statement in progress at the half of a stop

Cause: after half of the grace period the instance interrupted the receives of all sessions, so that idle transactions were rolled back. A session with a statement in progress is not in a receive: after the answer it set the idle deadline anew and went on without a limit, to the exit half a second before the end of the grace period. The same held for a transaction that began on a session of that moment, and for a part of a request that had been read (the session then read with a deadline in the past, over and over).

Ruled out: an interruption that the idle deadline undoes (it is set before the flag is read); a second interruption of each session by a timer, since a request may already have been read.

Change: from the half on, an open transaction is rolled back as soon as it has no statement in progress, and no more statements begin: a transaction's are told ABORTED, others BUSY, both true. The flag is the server's, so that it holds for each session. Statements that arrive from the SIGTERM on are answered 0.2 s before the exit, even if their route allows more. A holder ends forwarded transactions in the same way, and declines a statement that comes before the rollback. A caller whose transaction was rolled back between two statements is told ABORTED with its next statement, and no longer MALFORMED, which says nothing of what is kept.

In TestForwardedTransactionExpires only the method's name changed.

--- a/bbrnode/run.go
+++ b/bbrnode/run.go
@@ -21,6 +21,8 @@
 	readinessLag = 2300 * time.Millisecond
 	// stopMargin is how long before the end of the grace period the process exits.
 	stopMargin = 500 * time.Millisecond
+	// answerMargin is how long before the process exits all statements are answered.
+	answerMargin = 200 * time.Millisecond
 	// stopPollInterval is the interval at which a stop checks whether all sessions
 	// have ended.
 	stopPollInterval = 50 * time.Millisecond
@@ -116,42 +118,52 @@
 		handlers[n.settings.PeerAddress] = peers
 	}
 	for address, h := range handlers {
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			return errors.Wrapf(err, "listen on %s", address)
+		if err := n.serveHTTP(ctx, address, h); err != nil {
+			return err
 		}
-		server := &http.Server{Handler: h, ReadHeaderTimeout: 2 * time.Second}
-		n.runAsync(func() { _ = server.Serve(l) })
-		context.AfterFunc(ctx, func() { _ = server.Close() })
 	}
 	return nil
 }
 
+// serveHTTP serves requests on an address until ctx ends.
+func (n *Node) serveHTTP(ctx context.Context, address string, h http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", address)
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: 2 * time.Second}
+	n.runAsync(func() { _ = server.Serve(l) })
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	return nil
+}
+
 // stop ends all sessions within the grace period. It first fails the readiness
 // check, unregisters the instance, and waits until the platform has stopped sending
 // callers. Then each session is closed once it is between statements and in no
-// transaction. After half of the grace period idle transactions are rolled back.
+// transaction. After half of the grace period open transactions are rolled back between
+// two statements, and no more statements begin.
 func (n *Node) stop(ctx context.Context, callers net.Listener) {
 	n.log.WithField("sessions", n.sessions.SessionCount()).Info("stop begins")
 	startedAt := n.clock.Now()
+	exitAt := startedAt.Add(n.settings.GracePeriod - stopMargin)
 	n.mu.Lock()
 	n.stopping = true
 	n.mu.Unlock()
+	n.sessions.AnswerBy(exitAt.Add(-answerMargin))
 	n.sessions.StopForwarded()
 	n.runAsync(func() { n.unregister(ctx) })
 	bbrtype.Sleep(ctx, min(readinessLag, n.settings.GracePeriod/2))
 	_ = callers.Close()
 	n.sessions.Drain()
-	n.awaitSessions(ctx, n.settings.GracePeriod/2-n.clock.Now().Sub(startedAt))
-	n.sessions.RollbackIdleTransactions()
-	n.awaitSessions(ctx, n.settings.GracePeriod-stopMargin-n.clock.Now().Sub(startedAt))
+	n.awaitSessions(ctx, startedAt.Add(n.settings.GracePeriod/2))
+	n.sessions.EndTransactions()
+	n.awaitSessions(ctx, exitAt)
 	n.log.WithField("sessions", n.sessions.SessionCount()).Info("stop")
 }
 
 // awaitSessions waits until all sessions have ended, and all work that other instances
-// have forwarded, for at most timeout.
-func (n *Node) awaitSessions(ctx context.Context, timeout time.Duration) {
-	deadline := n.clock.Now().Add(timeout)
+// have forwarded, until deadline at the latest.
+func (n *Node) awaitSessions(ctx context.Context, deadline bbrtype.Mono) {
 	for n.sessions.SessionCount()+n.sessions.ForwardedCount() > 0 && n.clock.Now() < deadline {
 		bbrtype.Sleep(ctx, stopPollInterval)
 	}
--- a/bbrsession/forward.go
+++ b/bbrsession/forward.go
@@ -89,12 +89,8 @@
 
 // newForwarded returns a statement that has not been forwarded yet.
 func (sess *session) newForwarded(st bbrmessage.Statement, route bbrcatalog.Route, arrivedAt bbrtype.Mono) *forwarded {
-	timeout := route.StatementTimeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
 	f := &forwarded{
-		sess: sess, route: route, arrivedAt: arrivedAt, begunAt: arrivedAt, deadline: arrivedAt.Add(timeout),
+		sess: sess, route: route, arrivedAt: arrivedAt, begunAt: arrivedAt, deadline: sess.server.deadline(route, arrivedAt),
 		statement: bbrforward.Statement{Statement: st, Route: route, Values: sess.state.Values, Prepared: sess.state.Prepared},
 	}
 	if tx := sess.tx; tx != nil {
--- a/bbrsession/forward_test.go
+++ b/bbrsession/forward_test.go
@@ -242,7 +242,7 @@
 	is.NoErr(err)
 	is.True(result.Transaction != "")
 	is.Equal(holders[0].server.ForwardedCount(), 1)
-	holders[0].server.RollbackIdleTransactions() // as in a stop
+	holders[0].server.EndTransactions() // as in a stop
 	is.NoErr(holders[0].server.Tasks.Wait())
 	is.Equal(holders[0].server.ForwardedCount(), 0)
 	is.Equal(holders[0].countSent("rollback"), 1)
--- a/bbrsession/guest.go
+++ b/bbrsession/guest.go
@@ -176,6 +176,10 @@
 		return bbrforward.Result{Declined: "the transaction is not open any more"}
 	}
 	tx.idle.Stop()
+	if s.ending.Load() {
+		s.endGuest(st.Transaction, tx)
+		return bbrforward.Result{Declined: "the instance is stopping; the transaction is rolled back", Stopping: true}
+	}
 	tx.sess.phases = Phases{}
 	tx.sess.state = stateOf(st)
 	return s.runGuest(ctx, st.Transaction, tx, st, s.Clock.Now().Add(-st.ArrivedAgo))
@@ -202,14 +206,18 @@
 	return guestIdleTimeout
 }
 
-// expireGuest rolls a forwarded transaction back that has been idle for too long. The
-// instance that forwarded it is gone, or does not commit it any more.
+// expireGuest rolls a forwarded transaction back that has been idle for too long, or on
+// EndTransactions. The instance that forwarded it is gone, or does not commit it any more.
 func (s *Server) expireGuest(id bbrforward.TransactionID, tx *guest) {
 	tx.mu.Lock()
 	defer tx.mu.Unlock()
-	if tx.ended {
-		return
+	if !tx.ended {
+		s.endGuest(id, tx)
 	}
+}
+
+// endGuest rolls a forwarded transaction back. tx.mu must be held.
+func (s *Server) endGuest(id bbrforward.TransactionID, tx *guest) {
 	s.Log.WithFields(logrus.Fields{"route": tx.sess.tx.route.Name, "group": tx.sess.tx.route.Group, "stopping": s.closing.Load()}).Info("idle forwarded transaction rolled back")
 	tx.sess.rollback()
 	tx.ended = true
--- a/bbrsession/server.go
+++ b/bbrsession/server.go
@@ -75,6 +75,10 @@
 type Server struct {
 	Deps
 	closing atomic.Bool
+	// ending is set when open transactions are ended, see EndTransactions.
+	ending atomic.Bool
+	// answerBy is the time by which all statements are answered, 0 for no limit.
+	answerBy atomic.Int64
 	// declining is set when forwarded statements are declined.
 	declining atomic.Bool
 	guests    guests
@@ -113,14 +117,11 @@
 	s.interruptReceives()
 }
 
-// RollbackIdleTransactions rolls back idle transactions, which then count as failed.
-// After Drain, such a session ends once the caller has sent commit or rollback.
-func (s *Server) RollbackIdleTransactions() {
-	s.mu.Lock()
-	for sess := range s.sessions {
-		sess.endIdleTransaction.Store(true)
-	}
-	s.mu.Unlock()
+// EndTransactions rolls back each open transaction as soon as it has no statement in
+// progress, and lets no further statement begin. Transactions that are rolled back count as
+// failed. After Drain, such a session ends once the caller has sent commit or rollback.
+func (s *Server) EndTransactions() {
+	s.ending.Store(true)
 	s.interruptReceives()
 	for id, tx := range s.guests.all() {
 		s.Tasks.Go(func() error {
@@ -130,6 +131,23 @@
 	}
 }
 
+// AnswerBy lets each statement that arrives from now on be answered by the given time, even
+// if its route allows it more.
+func (s *Server) AnswerBy(at bbrtype.Mono) { s.answerBy.Store(int64(at)) }
+
+// deadline returns the time by which a statement is to be answered.
+func (s *Server) deadline(route bbrcatalog.Route, arrivedAt bbrtype.Mono) bbrtype.Mono {
+	timeout := route.StatementTimeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	deadline := arrivedAt.Add(timeout)
+	if limit := bbrtype.Mono(s.answerBy.Load()); limit != 0 {
+		deadline = min(deadline, limit)
+	}
+	return deadline
+}
+
 // interruptReceives makes pending receives of all sessions time out, so that the
 // sessions check whether they have to end.
 func (s *Server) interruptReceives() {
--- a/bbrsession/session.go
+++ b/bbrsession/session.go
@@ -6,7 +6,6 @@
 	"net"
 	"os"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -32,8 +31,6 @@
 	// servedBy is the address of the instance that served the statement in progress,
 	// empty for this one.
 	servedBy string
-	// endIdleTransaction requests the rollback of an idle transaction.
-	endIdleTransaction atomic.Bool
 }
 
 // transaction is an open transaction. It has no connection before its first
@@ -49,6 +46,9 @@
 	remote remoteTransaction
 	wrote  bool
 	failed bool
+	// untold is why the transaction failed between two statements, nil once the caller
+	// has been told.
+	untold *bbrmessage.Failure
 }
 
 // hasBegun reports whether the transaction has begun at a member.
@@ -88,20 +88,32 @@
 // setReceiveDeadline sets the deadline for the next request. While the server closes, it
 // returns when the session is to end unless a request arrives; zero in a transaction.
 func (sess *session) setReceiveDeadline() (closeAt time.Time) {
-	// The idle deadline is set before the server is seen to close, so that it does not
-	// undo the interruption by Drain.
+	// The idle deadline is set before the server is seen to close or to end transactions,
+	// so that it does not undo the interruption by Drain or EndTransactions.
 	sess.setIdleDeadline()
-	if !sess.server.closing.Load() || sess.tx != nil {
+	isEnding := sess.server.ending.Load()
+	switch {
+	case sess.tx != nil && isEnding && !sess.tx.failed:
+		// handleReceiveTimeout rolls the transaction back.
+		_ = sess.caller.SetReceiveDeadline(sess.waitUntil(isEnding))
+		return time.Time{}
+	case sess.tx != nil || !sess.server.closing.Load():
 		return time.Time{}
 	}
-	closeAt = time.Now()
-	if !sess.endIdleTransaction.Load() {
-		closeAt = closeAt.Add(closeDelay)
-	}
+	closeAt = sess.waitUntil(isEnding)
 	_ = sess.caller.SetReceiveDeadline(closeAt)
 	return closeAt
 }
 
+// waitUntil returns until when a session that is to end, or its transaction, waits for a
+// request: not at all while transactions are ended, unless part of one has been read.
+func (sess *session) waitUntil(isEnding bool) time.Time {
+	if isEnding && sess.caller.IsIdle() {
+		return time.Now()
+	}
+	return time.Now().Add(closeDelay)
+}
+
 // setIdleDeadline sets the receive deadline to the end of the idle timeout if a
 // transaction has begun at a member, else to none.
 func (sess *session) setIdleDeadline() {
@@ -113,19 +125,19 @@
 }
 
 // handleReceiveTimeout rolls back the transaction after the idle timeout, or on
-// RollbackIdleTransactions. While the server closes, only RollbackIdleTransactions
-// rolls it back: Drain interrupts the receive too, but has to leave transactions
-// open.
+// EndTransactions. While the server closes, only EndTransactions rolls it back: Drain
+// interrupts the receive too, but has to leave transactions open.
 func (sess *session) handleReceiveTimeout() {
-	if sess.tx == nil || !sess.caller.IsIdle() {
+	if sess.tx == nil || sess.tx.failed || !sess.caller.IsIdle() {
 		return
 	}
-	if sess.server.closing.Load() && !sess.endIdleTransaction.Load() {
+	if sess.server.closing.Load() && !sess.server.ending.Load() {
 		return
 	}
 	sess.server.Log.WithFields(logrus.Fields{"route": sess.tx.route.Name, "stopping": sess.server.closing.Load()}).Info("idle transaction rolled back")
 	sess.rollback()
 	sess.tx.failed = true
+	sess.tx.untold = &bbrmessage.Failure{Class: bbrmessage.ClassAborted, Text: "the transaction was idle and has been rolled back"}
 }
 
 // handleRequest handles one received request. It returns true if the session must
@@ -183,6 +195,9 @@
 	if sess.tx != nil && sess.tx.failed {
 		return sess.handleInFailedTransaction(st)
 	}
+	if sess.server.ending.Load() && startsWork(st.Op) {
+		return sess.rejectAtStop(st.Op)
+	}
 	switch op := st.Op.(type) {
 	case bbrmessage.Set:
 		return sess.set(op)
@@ -211,6 +226,31 @@
 	return sess.failureReply(malformedFailure("the statement can't be understood"))
 }
 
+// startsWork reports whether a statement begins work at a member, now or by the statements
+// that follow it.
+func startsWork(op bbrmessage.Operation) bool {
+	switch op.(type) {
+	case bbrmessage.Begin, bbrmessage.Commit, bbrmessage.Read, bbrmessage.Write, bbrmessage.Execute:
+		return true
+	}
+	return false
+}
+
+// rejectAtStop rejects a statement because EndTransactions lets no more begin. An open
+// transaction is rolled back.
+func (sess *session) rejectAtStop(op bbrmessage.Operation) bbrmessage.Reply {
+	const text = "the instance is stopping"
+	if sess.tx == nil {
+		return sess.failureReply(busyFailure(text))
+	}
+	reply := sess.rollbackAndFail(&bbrmessage.Failure{Class: bbrmessage.ClassAborted, Text: text + "; the transaction is rolled back"})
+	if _, isCommit := op.(bbrmessage.Commit); isCommit {
+		sess.tx = nil
+		reply.State = sess.transactionState()
+	}
+	return reply
+}
+
 // handleInFailedTransaction handles a statement in a transaction that has failed:
 // only commit and rollback are accepted, and both end the transaction.
 func (sess *session) handleInFailedTransaction(st bbrmessage.Statement) bbrmessage.Reply {
@@ -222,6 +262,10 @@
 		sess.tx = nil
 		return sess.failureReply(&bbrmessage.Failure{Class: bbrmessage.ClassAborted, Text: "the transaction had failed and was rolled back"})
 	}
+	if f := sess.tx.untold; f != nil {
+		sess.tx.untold = nil
+		return sess.failureReply(f)
+	}
 	return sess.failureReply(malformedFailure("the transaction has failed; end it first"))
 }
 
--- a/bbrsession/session_test.go
+++ b/bbrsession/session_test.go
@@ -104,7 +104,9 @@
 	fakeCaller
 	// beforeReceive is called before each Receive. It may be nil.
 	beforeReceive func()
-	deadline      atomic.Pointer[time.Time]
+	// ignoresDeadline is set if the requests have been read before the deadline passes.
+	ignoresDeadline bool
+	deadline        atomic.Pointer[time.Time]
 }
 
 func (c *deadlineCaller) SetReceiveDeadline(t time.Time) error {
@@ -117,7 +119,7 @@
 		c.beforeReceive()
 	}
 	deadline := *c.deadline.Load()
-	if len(c.requests) > 0 && (deadline.IsZero() || deadline.After(time.Now())) {
+	if len(c.requests) > 0 && (c.ignoresDeadline || deadline.IsZero() || deadline.After(time.Now())) {
 		return c.fakeCaller.Receive()
 	}
 	if deadline.IsZero() {
--- a/bbrsession/statement.go
+++ b/bbrsession/statement.go
@@ -79,13 +79,9 @@
 
 // newExecution returns the execution of a statement that has not been sent yet.
 func (sess *session) newExecution(st bbrmessage.Statement, route bbrcatalog.Route, group *bbrlink.Group, access bbrmessage.Access, arrivedAt bbrtype.Mono) *execution {
-	timeout := route.StatementTimeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
 	return &execution{
 		sess: sess, group: group, route: route, st: st, access: access,
-		arrivedAt: arrivedAt, asOf: arrivedAt, deadline: arrivedAt.Add(timeout - replyMargin),
+		arrivedAt: arrivedAt, asOf: arrivedAt, deadline: sess.server.deadline(route, arrivedAt).Add(-replyMargin),
 	}
 }
 
