Wait at a stop until the replies to other instances are written

What callers could see: a write at a holder that stops, reported as in doubt although it was done, or a read that runs twice.

Cause: a forwarded statement counts as ended before the reply to the forwarding instance is written. If it was the last one, the process could exit in between.

Change: requests of other instances that forward statements count until their replies are written to the connection. Ruled out: a shutdown of the whole HTTP server, which waits up to five seconds for connections that have never carried a request.

Test: TestStopWaitsForRepliesToOtherInstances failed before: run_test.go:43: err: Get "http://127.90.15.200:37119": EOF

--- a/bbrnode/node.go
+++ b/bbrnode/node.go
@@ -102,6 +102,8 @@
 	peerProofFlight  singleFlight
 	peerClient       *bbrshare.Client
 	forwardClient    *bbrforward.Client
+	// forwardRequests are the requests by which other instances forward statements.
+	forwardRequests requestCounter
 	// fleet is this instance and the others that the store lists.
 	fleet atomic.Pointer[fleetView]
 
--- a/bbrnode/run.go
+++ b/bbrnode/run.go
@@ -113,7 +113,7 @@
 	handlers := map[string]http.Handler{n.settings.ReadyAddress: ready, n.settings.MetricsAddress: metrics}
 	if n.settings.PeerAddress != "" {
 		peers := http.NewServeMux()
-		peers.Handle(bbrforward.PathPrefix, bbrforward.Handler(n.runForwarded, n.sessions.IsForwardedStopped))
+		peers.Handle(bbrforward.PathPrefix, n.forwardRequests.count(bbrforward.Handler(n.runForwarded, n.sessions.IsForwardedStopped)))
 		peers.Handle("/", bbrshare.Handler(n.servePull))
 		handlers[n.settings.PeerAddress] = peers
 	}
@@ -162,9 +162,9 @@
 }
 
 // awaitSessions waits until all sessions have ended, and all work that other instances
-// have forwarded, until deadline at the latest.
+// have forwarded is done and replied to, until deadline at the latest.
 func (n *Node) awaitSessions(ctx context.Context, deadline bbrtype.Mono) {
-	for n.sessions.SessionCount()+n.sessions.ForwardedCount() > 0 && n.clock.Now() < deadline {
+	for n.sessions.SessionCount()+n.sessions.ForwardedCount()+n.forwardRequests.inProgress() > 0 && n.clock.Now() < deadline {
 		bbrtype.Sleep(ctx, stopPollInterval)
 	}
 }
