End transactions after half of a planned stop in the PostgreSQL program

What callers saw: a transaction that outlived `drain` was cut off without an answer, also in the middle of a statement or a COMMIT.

Change: after half of the time a session in a transaction ends between two statements, with SQLSTATE 57P01, and the member rolls the transaction back; one with a statement in progress gets its answer first. A statement or a COPY that is in progress at the end of `drain` is still cut off, as before; the exit code tells.

Test: TestPlannedStopEndsTransactions failed before, when the time was over: promise_test.go:296: != 57P01 // between two statements Now it passes, and the process exits with 0.

--- a/bbrintegration/promise_test.go
+++ b/bbrintegration/promise_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/matryer/is"
 
@@ -270,6 +271,38 @@
 	})
 }
 
+// A planned stop with transactions that outlive half of its time: guards against statements
+// that are cut off when the time is over.
+func TestPlannedStopEndsTransactions(t *testing.T) {
+	is := is.New(t)
+	const drain = 4 * time.Second
+	f := newFleet(t, options{settings: "[limits]\ndrain = 4s"})
+	f.makeTable()
+	idle, busy := f.connect(0), f.connect(0)
+	for n, c := range []*pgx.Conn{idle, busy} {
+		_, err := c.Exec(f.ctx, "BEGIN")
+		is.NoErr(err)
+		_, err = c.Exec(f.ctx, fmt.Sprintf("INSERT INTO orders (id, shop) VALUES (%d, 1)", n+1))
+		is.NoErr(err)
+	}
+	exit := make(chan int, 1)
+	startedAt := time.Now()
+	p := f.instances[0].process
+	bbrtesthelpers.Go(func() { exit <- p.Terminate() })
+	var err error
+	for err == nil && time.Since(startedAt) < 2*drain {
+		_, err = busy.Exec(f.ctx, "SELECT 1")
+	}
+	is.Equal(code(err), "57P01") // between two statements
+	is.True(time.Since(startedAt) > drain/4)
+	is.True(time.Since(startedAt) < drain)
+	_, err = idle.Exec(f.ctx, "COMMIT")
+	is.Equal(code(err), "57P01")
+	is.Equal(<-exit, 0) // nobody was cut off
+	runs := f.runs(f.primaryOf(1))
+	is.Equal(runs[1]+runs[2], 0)
+}
+
 // All instances are replaced one after the other while orders come in.
 func TestRollingRestart(t *testing.T) {
 	f := newFleet(t, options{})
--- a/bbrproxy/batch.go
+++ b/bbrproxy/batch.go
@@ -71,13 +71,23 @@
 // maxItems bounds the messages of one batch.
 const maxItems = 10000
 
+// waitFor returns the state in which the session waits for the next message of a batch.
+func (c *session) waitFor(b *batch) wait {
+	switch {
+	case len(b.items) > 0:
+		return waitInRequest
+	case c.tx != nil || c.aborted:
+		return waitInTransaction
+	}
+	return waitIdle
+}
+
 // readBatch collects the caller's messages up to a query, Sync or Flush.
 func (c *session) readBatch() (*batch, error) {
 	b := &c.work.batch
 	b.reset()
 	for {
-		idle := len(b.items) == 0 && c.tx == nil && !c.aborted
-		msg, err := c.receive(idle)
+		msg, err := c.receive(c.waitFor(b))
 		if err != nil {
 			return nil, err
 		}
--- a/bbrproxy/pump.go
+++ b/bbrproxy/pump.go
@@ -369,7 +369,7 @@
 	p.base = 0
 	var buf []byte
 	for {
-		msg, err := p.c.receive(false)
+		msg, err := p.c.receive(waitInRequest)
 		if err != nil {
 			return err
 		}
--- a/bbrproxy/serve.go
+++ b/bbrproxy/serve.go
@@ -98,8 +98,12 @@
 	if err := c.flush(); err != nil {
 		return err
 	}
-	if c.srv.draining.Load() && status == txIdle {
-		c.fatal(bbroutcome.New(bbroutcome.ReasonDraining, "the instance is stopping"))
+	next := waitInTransaction
+	if status == txIdle {
+		next = waitIdle
+	}
+	if c.srv.endsSession(next) {
+		c.fatal(c.stopError())
 		return errEnded
 	}
 	return nil
--- a/bbrproxy/server.go
+++ b/bbrproxy/server.go
@@ -123,7 +123,9 @@
 	mockKey    []byte
 
 	draining atomic.Bool
-	nextID   atomic.Uint32
+	// ending is set in a planned stop once open transactions are ended, too.
+	ending atomic.Bool
+	nextID atomic.Uint32
 
 	mu        sync.Mutex
 	listeners []net.Listener
@@ -246,19 +248,57 @@
 	c.cancelRunning()
 }
 
+// endsSession reports whether a planned stop ends a session that waits for its caller.
+func (s *Server) endsSession(w wait) bool {
+	switch w {
+	case waitIdle:
+		return s.draining.Load()
+	case waitInTransaction:
+		return s.ending.Load()
+	}
+	return false
+}
+
+// wakeSessions lets the sessions that a planned stop ends find that out.
+func (s *Server) wakeSessions() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.sessions {
+		c.wakeForDrain()
+	}
+}
+
+// endTransactions ends the sessions that are in a transaction, when they are between two
+// statements. The members roll the transactions back.
+func (s *Server) endTransactions() {
+	s.ending.Store(true)
+	s.wakeSessions()
+}
+
+// endTransactionsLater ends transactions after half of the time until the deadline of a
+// context, if it has one. The returned function stops that.
+func (s *Server) endTransactionsLater(ctx context.Context) (stop func()) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return func() {}
+	}
+	timer := time.AfterFunc(time.Until(deadline)/2, s.endTransactions)
+	return func() { timer.Stop() }
+}
+
 // Drain ends the sessions: idle ones at once with a clear error, others when
-// their statement or transaction has ended. Those that remain when the context
-// ends are cut off; their number is returned.
+// their statement or transaction has ended. After half of the time until the context's
+// deadline, transactions are ended between two statements. Sessions that remain when the
+// context ends are cut off; their number is returned.
 func (s *Server) Drain(ctx context.Context) int {
 	s.draining.Store(true)
 	s.mu.Lock()
 	for _, l := range s.listeners {
 		_ = l.Close()
 	}
-	for _, c := range s.sessions {
-		c.wakeForDrain()
-	}
 	s.mu.Unlock()
+	s.wakeSessions()
+	defer s.endTransactionsLater(ctx)()
 	for {
 		s.mu.Lock()
 		left, changed := len(s.sessions), s.changed
--- a/bbrproxy/session.go
+++ b/bbrproxy/session.go
@@ -73,10 +73,22 @@
 
 	mu      sync.Mutex
 	running running
-	// reading is set while the session waits for the caller.
-	reading bool
+	// waiting is what the session waits for the caller with.
+	waiting wait
 }
 
+// wait is the state of a session while it waits for a message of the caller.
+type wait string
+
+// The states. With waitIdle the session is between transactions, with waitInTransaction
+// between two requests of one, and with waitInRequest a request has begun to arrive.
+const (
+	waitNone          wait = ""
+	waitIdle          wait = "idle"
+	waitInTransaction wait = "inTransaction"
+	waitInRequest     wait = "inRequest"
+)
+
 // running is what a cancel request needs to know.
 type running struct {
 	address   string
@@ -173,7 +185,7 @@
 	var tooLong *pgproto3.ExceededMaxBodyLenErr
 	switch {
 	case c.srv.draining.Load() && bbrpool.IsTimeout(err):
-		c.fatal(bbroutcome.New(bbroutcome.ReasonDraining, "the instance is stopping"))
+		c.fatal(c.stopError())
 	case errors.As(err, &e):
 		c.fatal(e)
 	case errors.As(err, &tooLong):
@@ -181,27 +193,41 @@
 	}
 }
 
-// receive reads a message. A session that is idle while the server drains gets
-// an error for which bbrpool.IsTimeout holds.
-func (c *session) receive(idle bool) (pgproto3.FrontendMessage, error) {
-	c.mu.Lock()
-	c.reading = idle
-	if idle && c.srv.draining.Load() {
-		_ = c.conn.SetReadDeadline(time.Unix(1, 0))
+// stopError tells the caller that the session ends because the instance stops.
+func (c *session) stopError() *bbroutcome.Error {
+	if c.tx != nil {
+		return bbroutcome.New(bbroutcome.ReasonDraining, "the instance is stopping; the transaction is rolled back")
 	}
-	c.mu.Unlock()
+	return bbroutcome.New(bbroutcome.ReasonDraining, "the instance is stopping")
+}
+
+// receive reads a message. A session whose wait a planned stop ends gets an error for
+// which bbrpool.IsTimeout holds.
+func (c *session) receive(w wait) (pgproto3.FrontendMessage, error) {
+	c.setWaiting(w)
 	msg, err := c.be.Receive()
-	c.mu.Lock()
-	c.reading = false
-	c.mu.Unlock()
+	c.setWaiting(waitNone)
 	return msg, errors.Wrap(err, "read from the caller")
 }
 
-// wakeForDrain ends the wait of an idle session.
+// setWaiting notes what the session waits with.
+func (c *session) setWaiting(w wait) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = w
+	c.interruptIfStopped()
+}
+
+// wakeForDrain ends the wait of a session that a planned stop ends.
 func (c *session) wakeForDrain() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.reading {
+	c.interruptIfStopped()
+}
+
+// interruptIfStopped interrupts a wait that a planned stop ends. The caller holds mu.
+func (c *session) interruptIfStopped() {
+	if c.srv.endsSession(c.waiting) {
 		_ = c.conn.SetReadDeadline(time.Unix(1, 0))
 	}
 }
