--- a/bbrsettings/reference.go
+++ b/bbrsettings/reference.go
@@ -54,7 +54,7 @@
 		"answerPatience":  "time without an answer after which a connection is looked into",
 		"resolvePatience": "time to find out what became of a request with a key",
 		"baseline":        "simpler policies, for measurements only: `primary` sends all reads to the primary, `random` ignores what callers have seen",
-		"drain":           "longest time of a planned stop",
+		"drain":           "longest time of a planned stop; open transactions get half of it",
 		"fixedQuota":      "divide connections equally, for measurements only",
 	},
 	"timing": {
