Read the list of members before a change of primary is based on it

Cause: a machine that woke used the primary that the records named, and took it for gone, since its list, read before the freeze, did not have it. It paused the members of that list and had one of them promoted, while the primary went on with members that had joined.

Ruled out: the wait after the loss of the history alone (any old list will do); the old list only while the poll fails, since a poll that hangs shows nothing either.

Change: the list is read from the store before a primary is taken for gone, and by each change of primary after its claim, beside another read. Without a reply the primary is not taken for gone.

--- a/bbrnode/change.go
+++ b/bbrnode/change.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/bluebellroute/bluebellroute/bbrlink"
 	"github.com/bluebellroute/bluebellroute/bbrmessage"
@@ -195,7 +196,7 @@
 // old one, and the time at which the barrier was reached.
 func (c *primaryChange) reachBarrier(ctx context.Context) (bbrsuccession.Choice, bbrtype.Mono, error) {
 	c.pauseTerm = c.oldPrimary.Term + 1
-	c.node.readSeen(ctx)
+	c.readLists(ctx)
 	var reason string
 	command := commandStatus
 	for c.keepClaim(ctx) {
@@ -218,6 +219,20 @@
 	return bbrsuccession.Choice{}, 0, errors.Errorf("the barrier was not reached: %s", reason)
 }
 
+// readLists reads the list of members, so that those are paused that have just joined, and
+// which of them have replied. Without the store the change goes on with what is known.
+func (c *primaryChange) readLists(ctx context.Context) {
+	var reads errgroup.Group
+	reads.Go(func() error {
+		c.node.readSeen(ctx)
+		return nil
+	})
+	reads.Go(func() error { return c.node.readMembers(ctx) })
+	if err := reads.Wait(); err != nil {
+		c.log.WithError(err).Info("the change goes on with the members known here")
+	}
+}
+
 // nextCommand returns the command that the old primary is sent next.
 func (c *primaryChange) nextCommand(input bbrsuccession.ElectionInput) oldPrimaryCommand {
 	switch {
--- a/bbrnode/maintain.go
+++ b/bbrnode/maintain.go
@@ -178,11 +178,27 @@
 	observation.HasSuccessor = bbrsuccession.HasSuccessor(statuses, p.Member, acked)
 	observation.PrimaryAhead = bbrsuccession.IsPrimaryAhead(statuses, p.Member)
 	reason, due := bbrsuccession.ChangeDue(observation, n.clock.Now())
+	if due && observation.Deregistered {
+		due = n.isStillDeregistered(ctx, g, p)
+	}
 	if due && g.Primary() == p {
 		n.changePrimary(ctx, g, p, reason)
 	}
 }
 
+// isStillDeregistered reports whether the primary is not listed in the store either. This
+// instance's list may be old, as after a freeze, and the primary may have joined since.
+func (n *Node) isStillDeregistered(ctx context.Context, g *bbrlink.Group, p bbrlink.Primary) bool {
+	log := n.log.WithFields(logrus.Fields{"group": g.Name(), "primary": p.Member, "term": p.Term})
+	if err := n.readMembers(ctx); err != nil {
+		log.WithError(err).Info("the primary is not listed here; not changed without the store's list")
+		return false
+	}
+	isDeregistered := n.observePrimary(g, p).Deregistered
+	log.WithField("listed", !isDeregistered).Info("the primary is not listed here; looked up in the store")
+	return isDeregistered
+}
+
 // earliestTime is the earliest valid time; 0 means never.
 const earliestTime bbrtype.Mono = 1
 
--- a/bbrnode/watch.go
+++ b/bbrnode/watch.go
@@ -31,6 +31,8 @@
 	// resumePollTimeout bounds the first poll after a failed one. The store may have been
 	// restored meanwhile, which its reply shows.
 	resumePollTimeout = time.Millisecond
+	// readMembersTimeout bounds a read of the list of members before a decision.
+	readMembersTimeout = 500 * time.Millisecond
 )
 
 // followedTable is a table of the store that an instance follows.
@@ -125,6 +127,15 @@
 	return &version, nil
 }
 
+// readMembers reads the list of members from the store, for decisions that must not be
+// based on an old one.
+func (n *Node) readMembers(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readMembersTimeout)
+	defer cancel()
+	_, err := n.readWhole(ctx, n.platform.MemberTable)
+	return errors.Wrap(err, "read the list of members")
+}
+
 // watch waits for changes of a table and applies them. It returns early with an error if
 // eraCtx ends, that is, if the store is found to be in a newer era.
 func (n *Node) watch(ctx, eraCtx context.Context, table string, cursor bbrrows.Version, wait time.Duration) (bbrrows.ChangeBatch, error) {
