Acknowledge a commit during a change of primary only if a settled replica has it

Cause: a change of primary pauses the replicas that it knows. A member that joins after the barrier, or is not listed yet, confirms commits of the old primary; instances that reach it acknowledge them until the promoted member leads, whose log lacks them. Seen in the log of one lost commit: confirmed 2 ms before the barrier by none of the paused replicas, and acknowledged 26 ms after the claim was known at the instance that did so.

Change: while a replica has joined less than ten seconds ago, and from the claim on, a commit is acknowledged only if it is known that settled replicas have it, as while a replica leaves, and proves nothing of the primary. Once the primary is replaced, it is in doubt at once.

--- a/bbrlink/group.go
+++ b/bbrlink/group.go
@@ -68,6 +68,9 @@
 	// MayHaveConfirmed reports whether a member may have confirmed commits, see
 	// FirstListed. With nil every member may.
 	MayHaveConfirmed func(g *Group, id bbrtype.MemberName) bool
+	// IsChanging reports whether a change of a group's primary is known to have begun. With
+	// nil none is.
+	IsChanging func(group bbrtype.GroupName) bool
 	// FetchPeerProofs fetches the proofs of another instance and passes them to
 	// MergeProof.
 	FetchPeerProofs func(ctx context.Context) error
@@ -85,6 +88,8 @@
 	drainingSince map[bbrtype.MemberName]bbrtype.Mono
 	// firstListed is when this instance first saw each member listed.
 	firstListed map[bbrtype.MemberName]bbrtype.Mono
+	// firstListing is when this instance first saw any member listed.
+	firstListing bbrtype.Mono
 	// replied holds the members that have replied to this instance since they are listed.
 	replied map[bbrtype.MemberName]bool
 	// expired are members whose directory entries expired without a drain. They may
@@ -176,6 +181,9 @@
 		g.trackDrain(m)
 		if g.firstListed[m.ID] == 0 {
 			g.firstListed[m.ID] = g.Clock.Now()
+			if g.firstListing == 0 {
+				g.firstListing = g.Clock.Now()
+			}
 		}
 		old, known := g.members[m.ID]
 		g.members[m.ID] = m
--- a/bbrlink/lasting.go
+++ b/bbrlink/lasting.go
@@ -9,9 +9,12 @@
 )
 
 // A replica that leaves confirms commits until it is gone, and its log goes with it. A
-// commit that it alone has confirmed is lost if the primary fails or is cut off next. While
-// a replica leaves, a commit is therefore acknowledged to the caller only when as many
-// replicas that stay have received it as the group has synchronous ones.
+// commit that it alone has confirmed is lost if the primary fails or is cut off next. A
+// replica that has just joined confirms commits before each instance knows of it: a change
+// of primary that does not know it does not pause it, and loses what it alone has
+// confirmed. While a replica leaves or has just joined, or a change of primary has begun, a
+// commit is therefore acknowledged to the caller only when as many settled replicas have
+// received it as the group has synchronous ones.
 
 const (
 	// lastingCheckInterval is the interval at which a commit that waits for a staying
@@ -20,22 +23,29 @@
 	// leftReplicaTTL is how long a leaving replica counts after its entry is gone, since
 	// replies to commits that it confirmed may still be on their way.
 	leftReplicaTTL = time.Second
+	// settlingTime is how long a member must have been listed to count as settled. All
+	// other instances list it by then.
+	settlingTime = 10 * time.Second
+	// firstListingTime is how long after its first member the members of a group may be
+	// listed that count as settled from the beginning: an instance that has just started
+	// cannot tell which of them have just joined.
+	firstListingTime = 3 * time.Second
 )
 
-// AwaitLasting waits until a commit that the primary has acknowledged lasts: until replicas
-// that stay in the group have received it. It returns false if that is not known by the
-// time at which ctx ends. It returns at once if no replica leaves.
+// AwaitLasting waits until a commit that the primary has acknowledged lasts: until settled
+// replicas have received it. It returns false if that is not known by the time at which ctx
+// ends, or once the primary is replaced. It returns at once if all replicas are settled and no change of primary has begun.
 func (g *Group) AwaitLasting(ctx context.Context, primary bbrtype.MemberName, commit bbrmessage.LogPosition) bool {
 	for {
-		staying, lasts := g.stayingReplicas(primary, commit)
+		lacking, lasts := g.settledReplicas(primary, commit)
 		if lasts {
 			g.RecordAcked(commit)
 			return true
 		}
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || g.Primary().Term > commit.Term {
 			return false
 		}
-		g.queryPositions(ctx, staying)
+		g.queryPositions(ctx, lacking)
 		bbrtype.Sleep(ctx, lastingCheckInterval)
 	}
 }
@@ -47,24 +57,67 @@
 	g.lastAcked = bbrmessage.LaterPosition(g.lastAcked, commit)
 }
 
-// stayingReplicas returns the replicas that stay and are not known to have received a
+// settledReplicas returns the settled replicas that are not known to have received a
 // commit, and whether the commit lasts without them.
-func (g *Group) stayingReplicas(primary bbrtype.MemberName, commit bbrmessage.LogPosition) (lacking []bbrtype.MemberName, lasts bool) {
+func (g *Group) settledReplicas(primary bbrtype.MemberName, commit bbrmessage.LogPosition) (lacking []bbrtype.MemberName, lasts bool) {
+	isChanging := g.isChanging()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	received, staying := 0, 0
-	for id, m := range g.members {
-		if id == primary || m.Draining {
-			continue
-		}
-		staying++
+	counting, areAll := g.countingReplicas(primary)
+	received := 0
+	for _, id := range counting {
 		if hasReceived(g.received[id], commit) {
 			received++
 		} else {
 			lacking = append(lacking, id)
 		}
 	}
-	return lacking, !g.hasLeavingReplica(primary) || received >= min(g.settings.SyncReplicas, staying)
+	if areAll && !isChanging {
+		return lacking, true
+	}
+	return lacking, received >= min(g.settings.SyncReplicas, len(counting))
+}
+
+// countingReplicas returns the replicas whose logs count for a commit to last, and whether
+// these are all replicas: those that stay and have not just joined, or if there are none,
+// those that stay. The caller holds mu.
+func (g *Group) countingReplicas(primary bbrtype.MemberName) (counting []bbrtype.MemberName, areAll bool) {
+	var settled, joined []bbrtype.MemberName
+	for id, m := range g.members {
+		switch {
+		case id == primary || m.Draining:
+		case g.hasJustJoined(id):
+			joined = append(joined, id)
+		default:
+			settled = append(settled, id)
+		}
+	}
+	areAll = len(joined) == 0 && !g.hasLeavingReplica(primary)
+	if len(settled) == 0 {
+		return joined, areAll
+	}
+	return settled, areAll
+}
+
+// isChanging reports whether a change of the group's primary is known to have begun. The
+// caller does not hold mu.
+func (g *Group) isChanging() bool { return g.IsChanging != nil && g.IsChanging(g.name) }
+
+// hasJustJoined reports whether a member is not listed for long enough to be settled. The
+// caller holds mu.
+func (g *Group) hasJustJoined(id bbrtype.MemberName) bool {
+	listedAt := g.firstListed[id]
+	return listedAt.Sub(g.firstListing) > firstListingTime && g.Clock.Now().Sub(listedAt) < settlingTime
+}
+
+// hasJoiningReplica reports whether a replica has just joined. The caller holds mu.
+func (g *Group) hasJoiningReplica(primary bbrtype.MemberName) bool {
+	for id := range g.members {
+		if id != primary && g.hasJustJoined(id) {
+			return true
+		}
+	}
+	return false
 }
 
 // hasLeavingReplica reports whether a replica leaves or has just left. The caller holds mu.
--- a/bbrlink/reply.go
+++ b/bbrlink/reply.go
@@ -29,6 +29,7 @@
 // is left to AwaitLasting. It returns the time from which the reply may be
 // passed on, see commitUsableFrom.
 func (g *Group) RecordReply(c *Conn, r ReplyRecord) (usableFrom bbrtype.Mono) {
+	isChanging := g.isChanging()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Clock.Now()
@@ -55,7 +56,10 @@
 		usableFrom = g.commitUsableFrom(r.Reply.Position.Term, now)
 		g.stalledSince, g.lastCommitSentAt = 0, max(g.lastCommitSentAt, r.SentAt)
 	}
-	if r.IsWriteCommit && r.Reply.Position.Term == g.primary.Term && g.settings.SyncReplicas > 0 {
+	// A replica that a change of primary does not know of may confirm commits after the
+	// barrier, so that they prove nothing.
+	mayPassBarrier := isChanging || g.hasJoiningReplica(g.primary.Member)
+	if r.IsWriteCommit && r.Reply.Position.Term == g.primary.Term && g.settings.SyncReplicas > 0 && !mayPassBarrier {
 		g.recordProof(proofByCommit, g.primary.Term, r.SentAt)
 	}
 	g.proof.AddSample(r.Reply.Position, r.SentAt)
--- a/bbrnode/node.go
+++ b/bbrnode/node.go
@@ -291,7 +291,7 @@
 			}
 			g = bbrlink.NewGroup(name, bbrlink.Deps{
 				Dial: n.platform.DialMember, Clock: n.clock, Log: n.log, Tasks: n.background,
-				DataCentre: n.settings.DataCentre, DrainTimeout: n.settings.DrainTimeout, Share: n.share, MayHaveConfirmed: n.mayHaveConfirmed, ProveFromStore: n.proveFromStore, FetchPeerProofs: n.fetchPeerProofs,
+				DataCentre: n.settings.DataCentre, DrainTimeout: n.settings.DrainTimeout, Share: n.share, MayHaveConfirmed: n.mayHaveConfirmed, IsChanging: n.isChanging, ProveFromStore: n.proveFromStore, FetchPeerProofs: n.fetchPeerProofs,
 			})
 			n.groups[name] = g
 		}
@@ -347,6 +347,12 @@
 	return n.records[name]
 }
 
+// isChanging reports whether the newest record of a group that this instance has received
+// shows that a change of primary has begun.
+func (n *Node) isChanging(name bbrtype.GroupName) bool {
+	return n.knownRecord(name).Record.Phase == bbrsuccession.PhaseClaimed
+}
+
 // isReady reports whether the instance accepts callers: it is not stopping, has a
 // configuration, and knows the primary of at least one group, or another instance to which
 // it forwards statements of one.
--- a/bbrnode/record_test.go
+++ b/bbrnode/record_test.go
@@ -185,3 +185,15 @@
 		})
 	}
 }
+
+// TestBegunChangeIsKnown checks that an instance knows of a change of primary as soon as it
+// has the claim, and until the new primary is named.
+func TestBegunChangeIsKnown(t *testing.T) {
+	is := is.New(t)
+	n, _ := newRecordNode(&memoryStore{})
+	is.True(!n.isChanging("orders"))
+	for i, phase := range []bbrsuccession.Phase{bbrsuccession.PhaseClaimed, bbrsuccession.PhaseNamed} {
+		n.setRecord("orders", bbrsuccession.Record{Phase: phase, Primary: "old", Term: 1}, bbrrows.Version{Number: int64(i + 1)})
+		is.Equal(n.isChanging("orders"), phase == bbrsuccession.PhaseClaimed)
+	}
+}
--- a/bbrsession/statement.go
+++ b/bbrsession/statement.go
@@ -417,7 +417,7 @@
 }
 
 func notLastingFailure() *bbrmessage.Failure {
-	return &bbrmessage.Failure{Class: bbrmessage.ClassInDoubt, Text: "a replica leaves, and no other one is known to have received the commit"}
+	return &bbrmessage.Failure{Class: bbrmessage.ClassInDoubt, Text: "no replica that is sure to stay is known to have received the commit"}
 }
 
 // sleepUntil sleeps until the given time, or until ctx ends.
