Prove a primary by commits that settled replicas have during a change, and let lost claims lapse

What callers saw, on the commit before: reads on primary routes rejected for up to eight seconds after a change of primary that was claimed again while the promoted member led already.

Cause: the commit before took no proof from commits while a change of primary is known to have begun, nor while a replica joins. A claim that a killed holder leaves behind would have had the same effect for good.

Change: a commit that settled replicas are known to have received is a proof, as they were not paused then. A claim counts only while its holder may still act on it.

Test: TestCommitProvesNothingDuringChange has two cases more, TestBegunChangeIsKnown one on a claim that is left.

--- a/bbrlink/joining_test.go
+++ b/bbrlink/joining_test.go
@@ -91,22 +91,27 @@
 			}
 			ctx, cancel := context.WithTimeout(context.Background(), 3*lastingCheckInterval)
 			defer cancel()
-			is.Equal(g.AwaitLasting(ctx, "p", commit), tt.want)
+			is.Equal(g.AwaitLasting(ctx, "p", commit, g.Clock.Now()), tt.want)
 			is.NoErr(g.Tasks.Wait())
 		})
 	}
 }
 
 // TestCommitProvesNothingDuringChange guards against stale reads by a proof from a commit
-// that a replica confirmed which the change of primary does not know of.
+// that a replica confirmed which the change of primary does not know of. Once a settled
+// replica is known to have the commit, it is a proof, so that reads go on.
 func TestCommitProvesNothingDuringChange(t *testing.T) {
 	tests := map[string]struct {
 		isChanging, joins bool
-		want              bool
+		// settledHas is set if the settled replica is known to have the commit.
+		settledHas bool
+		want       bool
 	}{
-		"no change has begun, no replica joins": {want: true},
-		"a change has begun":                    {isChanging: true},
-		"a replica has just joined":             {joins: true},
+		"no change has begun, no replica joins":         {want: true},
+		"a change has begun":                            {isChanging: true},
+		"a replica has just joined":                     {joins: true},
+		"a change has begun, the replica has it":        {isChanging: true, settledHas: true, want: true},
+		"a replica has just joined, the settled has it": {joins: true, settledHas: true, want: true},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -123,6 +128,10 @@
 			sentAt := g.Clock.Now()
 			reply := bbrmessage.Reply{Signature: "sig", State: bbrmessage.StateIdle, Position: bbrmessage.LogPosition{Term: 1, Index: 7}}
 			g.RecordReply(&Conn{member: bbrdirectory.Member{ID: "p"}}, ReplyRecord{SentAt: sentAt, Reply: reply, IsWriteCommit: true})
+			if tt.settledHas {
+				g.recordReceived("r", reply.Position)
+			}
+			_, _ = g.checkLasting("p", reply.Position, sentAt)
 			is.Equal(g.IsProvenAt(g.Primary(), sentAt), tt.want)
 		})
 	}
@@ -139,7 +148,7 @@
 	g.SetPrimary(Primary{Member: "r", Term: 3})
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
-	is.True(!g.AwaitLasting(ctx, "p", bbrmessage.LogPosition{Term: 2, Index: 475}))
+	is.True(!g.AwaitLasting(ctx, "p", bbrmessage.LogPosition{Term: 2, Index: 475}, g.Clock.Now()))
 	is.NoErr(ctx.Err()) // it did not wait
 	is.NoErr(g.Tasks.Wait())
 }
--- a/bbrlink/lasting.go
+++ b/bbrlink/lasting.go
@@ -17,7 +17,7 @@
 // received it as the group has synchronous ones.
 
 const (
-	// lastingCheckInterval is the interval at which a commit that waits for a staying
+	// lastingCheckInterval is the interval at which a commit that waits for a settled
 	// replica is checked again.
 	lastingCheckInterval = 10 * time.Millisecond
 	// leftReplicaTTL is how long a leaving replica counts after its entry is gone, since
@@ -32,14 +32,14 @@
 	firstListingTime = 3 * time.Second
 )
 
-// AwaitLasting waits until a commit that the primary has acknowledged lasts: until settled
-// replicas have received it. It returns false if that is not known by the time at which ctx
-// ends, or once the primary is replaced. It returns at once if all replicas are settled and no change of primary has begun.
-func (g *Group) AwaitLasting(ctx context.Context, primary bbrtype.MemberName, commit bbrmessage.LogPosition) bool {
+// AwaitLasting waits until a commit lasts that the primary has acknowledged and that was
+// sent at sentAt: until settled replicas have received it. It returns false if that is not
+// known by the time at which ctx ends, or once the primary is replaced. It returns true at
+// once if all replicas are settled and no change of primary has begun.
+func (g *Group) AwaitLasting(ctx context.Context, primary bbrtype.MemberName, commit bbrmessage.LogPosition, sentAt bbrtype.Mono) bool {
 	for {
-		lacking, lasts := g.settledReplicas(primary, commit)
+		lacking, lasts := g.checkLasting(primary, commit, sentAt)
 		if lasts {
-			g.RecordAcked(commit)
 			return true
 		}
 		if ctx.Err() != nil || g.Primary().Term > commit.Term {
@@ -50,16 +50,11 @@
 	}
 }
 
-// RecordAcked records that a commit may be acknowledged to its caller.
-func (g *Group) RecordAcked(commit bbrmessage.LogPosition) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.lastAcked = bbrmessage.LaterPosition(g.lastAcked, commit)
-}
-
-// settledReplicas returns the settled replicas that are not known to have received a
-// commit, and whether the commit lasts without them.
-func (g *Group) settledReplicas(primary bbrtype.MemberName, commit bbrmessage.LogPosition) (lacking []bbrtype.MemberName, lasts bool) {
+// checkLasting reports whether a commit lasts, and returns the settled replicas that are
+// not known to have received it. A commit that lasts may be acknowledged to its caller. If
+// settled replicas have received it, no barrier had been reached when it was sent, so it is
+// a proof.
+func (g *Group) checkLasting(primary bbrtype.MemberName, commit bbrmessage.LogPosition, sentAt bbrtype.Mono) (lacking []bbrtype.MemberName, lasts bool) {
 	isChanging := g.isChanging()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -72,10 +67,15 @@
 			lacking = append(lacking, id)
 		}
 	}
-	if areAll && !isChanging {
-		return lacking, true
+	required := min(g.settings.SyncReplicas, len(counting))
+	if received < required && (!areAll || isChanging) {
+		return lacking, false
+	}
+	g.lastAcked = bbrmessage.LaterPosition(g.lastAcked, commit)
+	if required > 0 && received >= required && commit.Term == g.primary.Term {
+		g.recordProof(proofByCommit, commit.Term, sentAt)
 	}
-	return lacking, received >= min(g.settings.SyncReplicas, len(counting))
+	return lacking, true
 }
 
 // countingReplicas returns the replicas whose logs count for a commit to last, and whether
--- a/bbrlink/lasting_test.go
+++ b/bbrlink/lasting_test.go
@@ -67,7 +67,7 @@
 			}
 			ctx, cancel := context.WithTimeout(context.Background(), 3*lastingCheckInterval)
 			defer cancel()
-			is.Equal(g.AwaitLasting(ctx, "p", commit), tt.want)
+			is.Equal(g.AwaitLasting(ctx, "p", commit, g.Clock.Now()), tt.want)
 			is.Equal(g.LastAcked() == commit, tt.want) // a change of primary does not wait for the others
 			is.NoErr(g.Tasks.Wait())
 		})
--- a/bbrlink/reply.go
+++ b/bbrlink/reply.go
@@ -57,7 +57,7 @@
 		g.stalledSince, g.lastCommitSentAt = 0, max(g.lastCommitSentAt, r.SentAt)
 	}
 	// A replica that a change of primary does not know of may confirm commits after the
-	// barrier, so that they prove nothing.
+	// barrier. Such a commit is a proof only once AwaitLasting shows it.
 	mayPassBarrier := isChanging || g.hasJoiningReplica(g.primary.Member)
 	if r.IsWriteCommit && r.Reply.Position.Term == g.primary.Term && g.settings.SyncReplicas > 0 && !mayPassBarrier {
 		g.recordProof(proofByCommit, g.primary.Term, r.SentAt)
--- a/bbrnode/node.go
+++ b/bbrnode/node.go
@@ -348,9 +348,9 @@
 }
 
 // isChanging reports whether the newest record of a group that this instance has received
-// shows that a change of primary has begun.
+// shows that a change of primary has begun, and that its holder renews the claim.
 func (n *Node) isChanging(name bbrtype.GroupName) bool {
-	return n.knownRecord(name).Record.Phase == bbrsuccession.PhaseClaimed
+	return bbrsuccession.IsClaimHeld(n.knownRecord(name), n.clock.Now())
 }
 
 // isReady reports whether the instance accepts callers: it is not stopping, has a
--- a/bbrnode/record_test.go
+++ b/bbrnode/record_test.go
@@ -187,13 +187,33 @@
 }
 
 // TestBegunChangeIsKnown checks that an instance knows of a change of primary as soon as it
-// has the claim, and until the new primary is named.
+// has the claim, until the new primary is named or the holder does not renew the claim.
+// Otherwise the claim of a holder that was killed would leave a group without proofs.
 func TestBegunChangeIsKnown(t *testing.T) {
-	is := is.New(t)
-	n, _ := newRecordNode(&memoryStore{})
-	is.True(!n.isChanging("orders"))
-	for i, phase := range []bbrsuccession.Phase{bbrsuccession.PhaseClaimed, bbrsuccession.PhaseNamed} {
-		n.setRecord("orders", bbrsuccession.Record{Phase: phase, Primary: "old", Term: 1}, bbrrows.Version{Number: int64(i + 1)})
-		is.Equal(n.isChanging("orders"), phase == bbrsuccession.PhaseClaimed)
+	claimed, named := bbrsuccession.PhaseClaimed, bbrsuccession.PhaseNamed
+	tests := map[string]struct {
+		phases []bbrsuccession.Phase
+		age    time.Duration
+		want   bool
+	}{
+		"no record":              {},
+		"a claim":                {phases: []bbrsuccession.Phase{claimed}, want: true},
+		"the primary is named":   {phases: []bbrsuccession.Phase{claimed, named}},
+		"another claim":          {phases: []bbrsuccession.Phase{claimed, named, claimed}, want: true},
+		"a claim that is left":   {phases: []bbrsuccession.Phase{claimed}, age: time.Minute},
+		"a claim that may renew": {phases: []bbrsuccession.Phase{claimed}, age: bbrsuccession.ClaimTTL, want: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			n, _ := newRecordNode(&memoryStore{})
+			for i, phase := range tt.phases {
+				n.setRecord("orders", bbrsuccession.Record{Phase: phase, Primary: "old", Term: 1}, bbrrows.Version{Number: int64(i + 1)})
+			}
+			r := n.records["orders"]
+			r.FirstReadAt = r.FirstReadAt.Add(-tt.age)
+			n.records["orders"] = r
+			is.Equal(n.isChanging("orders"), tt.want)
+		})
 	}
 }
--- a/bbrsession/statement.go
+++ b/bbrsession/statement.go
@@ -50,6 +50,8 @@
 	// primaryAtAcquire is the primary that was in use when the connection was
 	// acquired.
 	primaryAtAcquire bbrlink.Primary
+	// commitSentAt is when the write or the commit of the transaction was sent.
+	commitSentAt bbrtype.Mono
 }
 
 // wallDeadline returns the deadline as a wall-clock time, as connections expect it.
@@ -381,6 +383,7 @@
 		}
 		text, name := sess.memberText(e.st, conn.Dialect())
 		sentAt := sess.server.Clock.Now()
+		e.commitSentAt = sentAt
 		reply, err := e.runAt(conn, e.wallDeadline(), conn.SetupStatements(&sess.state, name), bbrmessage.MemberStatement{ID: e.st.ID, Text: text})
 		if err != nil {
 			e.handleLostReply(conn, sentAt, err)
@@ -413,7 +416,7 @@
 	defer cancel()
 	startedAt := e.sess.server.Clock.Now()
 	defer func() { e.sess.phases.Proof += e.sess.server.Clock.Now().Sub(startedAt) }()
-	return e.group.AwaitLasting(ctx, primary, commit)
+	return e.group.AwaitLasting(ctx, primary, commit, e.commitSentAt)
 }
 
 func notLastingFailure() *bbrmessage.Failure {
--- a/bbrsession/transaction.go
+++ b/bbrsession/transaction.go
@@ -60,6 +60,7 @@
 	conn := sess.tx.conn
 	text, name := sess.memberText(e.st, conn.Dialect())
 	sentAt := sess.server.Clock.Now()
+	e.commitSentAt = sentAt
 	_, isCommit := e.st.Op.(bbrmessage.Commit)
 	replyDeadline := e.wallDeadline()
 	if !isCommit {
--- a/bbrsuccession/record.go
+++ b/bbrsuccession/record.go
@@ -127,7 +127,13 @@
 	if !current.IsConfirmedIn(era.Era) && now.Sub(era.Since) <= claimTakeoverDelay {
 		return false
 	}
-	return current.Record.Phase != PhaseClaimed || current.Record.Holder == holder || now.Sub(current.FirstReadAt) > claimTakeoverDelay
+	return !IsClaimHeld(current, now) || current.Record.Holder == holder
+}
+
+// IsClaimHeld reports whether a record shows a failover whose holder may still be running
+// it. A holder that ends without a word leaves its claim behind, which then counts no more.
+func IsClaimHeld(current VersionedRecord, now bbrtype.Mono) bool {
+	return current.Record.Phase == PhaseClaimed && now.Sub(current.FirstReadAt) <= claimTakeoverDelay
 }
 
 // ConfirmsTerm reports whether a record shows that no failover has started since the
