Do not take the end of a change of primary for a proof that a commit is kept

Cause: a commit that waits for a settled replica during a change of primary was checked as any other once the record named the new primary: then no change runs, and all replicas may be settled, so that it was acknowledged although none of them had it. That the primary was replaced was looked at only afterwards.

Change: a commit that needs the replicas' positions once needs them until it is known to last, and is in doubt as soon as the primary is replaced. While a change runs and no replica stays, those that leave count, since one of them may be chosen.

Test: TestCommitIsNotKeptBecauseAChangeEnds fails without these two conditions, in both cases: joining_test.go: not true: !w.lasts

--- a/bbrlink/joining_test.go
+++ b/bbrlink/joining_test.go
@@ -64,6 +64,11 @@
 			draining: map[bbrtype.MemberName]bool{"r": true},
 			received: map[bbrtype.MemberName]bbrmessage.LogPosition{"j": has}, want: true,
 		},
+		"a change has begun, and only a leaving replica is there, which lacks it": {
+			listed:   map[bbrtype.MemberName]time.Duration{"p": longAgo, "r": longAgo},
+			draining: map[bbrtype.MemberName]bool{"r": true}, isChanging: true,
+			received: map[bbrtype.MemberName]bbrmessage.LogPosition{"r": lacks},
+		},
 		"the primary has just joined": {
 			listed: map[bbrtype.MemberName]time.Duration{"p": justNow, "r": longAgo}, want: true,
 		},
@@ -131,7 +136,7 @@
 			if tt.settledHas {
 				g.recordReceived("r", reply.Position)
 			}
-			_, _ = g.checkLasting("p", reply.Position, sentAt)
+			g.checkLasting(&lastingWait{primary: "p", commit: reply.Position, sentAt: sentAt})
 			is.Equal(g.IsProvenAt(g.Primary(), sentAt), tt.want)
 		})
 	}
@@ -152,3 +157,34 @@
 	is.NoErr(ctx.Err()) // it did not wait
 	is.NoErr(g.Tasks.Wait())
 }
+
+// TestCommitIsNotKeptBecauseAChangeEnds guards against the loss of commits that wait for a
+// settled replica while the primary is changed: that the change has ended, or was given up,
+// does not show that anything has them.
+func TestCommitIsNotKeptBecauseAChangeEnds(t *testing.T) {
+	lacks := bbrmessage.LogPosition{Term: 1, Index: 6}
+	tests := map[string]struct {
+		next Primary
+	}{
+		"another member leads":    {next: Primary{Member: "r", Term: 2}},
+		"the change was given up": {next: Primary{Member: "p", Term: 1}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g := newTestGroup(t, 23, 1)
+			isChanging := true
+			g.IsChanging = func(bbrtype.GroupName) bool { return isChanging }
+			g.SetMembers(g.Members(), nil, bbrcatalog.GroupSettings{Group: "g", MaxConnections: 23, SyncReplicas: 1})
+			g.recordReceived("r", lacks)
+			w := lastingWait{primary: "p", commit: bbrmessage.LogPosition{Term: 1, Index: 7}, sentAt: g.Clock.Now()}
+			g.checkLasting(&w)
+			is.True(!w.lasts)
+			isChanging = false
+			g.SetPrimary(tt.next)
+			g.checkLasting(&w)
+			is.True(!w.lasts)
+			is.Equal(w.isReplaced, tt.next.Term > 1)
+		})
+	}
+}
--- a/bbrlink/lasting.go
+++ b/bbrlink/lasting.go
@@ -37,55 +37,75 @@
 // known by the time at which ctx ends, or once the primary is replaced. It returns true at
 // once if all replicas are settled and no change of primary has begun.
 func (g *Group) AwaitLasting(ctx context.Context, primary bbrtype.MemberName, commit bbrmessage.LogPosition, sentAt bbrtype.Mono) bool {
+	w := lastingWait{primary: primary, commit: commit, sentAt: sentAt}
 	for {
-		lacking, lasts := g.checkLasting(primary, commit, sentAt)
-		if lasts {
+		switch lacking := g.checkLasting(&w); {
+		case w.lasts:
 			return true
-		}
-		if ctx.Err() != nil || g.Primary().Term > commit.Term {
+		case w.isReplaced || ctx.Err() != nil:
 			return false
+		default:
+			g.queryPositions(ctx, lacking)
+			bbrtype.Sleep(ctx, lastingCheckInterval)
 		}
-		g.queryPositions(ctx, lacking)
-		bbrtype.Sleep(ctx, lastingCheckInterval)
 	}
 }
 
-// checkLasting reports whether a commit lasts, and returns the settled replicas that are
-// not known to have received it. A commit that lasts may be acknowledged to its caller. If
-// settled replicas have received it, no barrier had been reached when it was sent, so it is
-// a proof.
-func (g *Group) checkLasting(primary bbrtype.MemberName, commit bbrmessage.LogPosition, sentAt bbrtype.Mono) (lacking []bbrtype.MemberName, lasts bool) {
+// lastingWait is the wait for a commit to last.
+type lastingWait struct {
+	primary bbrtype.MemberName
+	commit  bbrmessage.LogPosition
+	sentAt  bbrtype.Mono
+	// needsReplicas is set once the commit lasts only if replicas are known to have it. It
+	// stays set: that a change of primary has ended does not show that the commit is kept.
+	needsReplicas bool
+	// lasts is set if the commit lasts, and isReplaced if another primary has taken over
+	// before that was known.
+	lasts, isReplaced bool
+}
+
+// checkLasting records in w whether the commit lasts, and returns the replicas that count
+// and are not known to have received it. A commit that lasts may be acknowledged to its
+// caller. If replicas are known to have received it, no barrier had been reached when it was
+// sent, so it is a proof.
+func (g *Group) checkLasting(w *lastingWait) (lacking []bbrtype.MemberName) {
 	isChanging := g.isChanging()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	counting, areAll := g.countingReplicas(primary)
+	counting, areAll := g.countingReplicas(w.primary, isChanging)
 	received := 0
 	for _, id := range counting {
-		if hasReceived(g.received[id], commit) {
+		if hasReceived(g.received[id], w.commit) {
 			received++
 		} else {
 			lacking = append(lacking, id)
 		}
 	}
+	w.needsReplicas = w.needsReplicas || !areAll || isChanging
+	w.isReplaced = g.primary.Term > w.commit.Term
 	required := min(g.settings.SyncReplicas, len(counting))
-	if received < required && (!areAll || isChanging) {
-		return lacking, false
+	w.lasts = !w.isReplaced && (!w.needsReplicas || received >= required)
+	if !w.lasts {
+		return lacking
 	}
-	g.lastAcked = bbrmessage.LaterPosition(g.lastAcked, commit)
-	if required > 0 && received >= required && commit.Term == g.primary.Term {
-		g.recordProof(proofByCommit, commit.Term, sentAt)
+	g.lastAcked = bbrmessage.LaterPosition(g.lastAcked, w.commit)
+	if required > 0 && received >= required && w.commit.Term == g.primary.Term {
+		g.recordProof(proofByCommit, w.commit.Term, w.sentAt)
 	}
-	return lacking, true
+	return nil
 }
 
 // countingReplicas returns the replicas whose logs count for a commit to last, and whether
 // these are all replicas: those that stay and have not just joined, or if there are none,
-// those that stay. The caller holds mu.
-func (g *Group) countingReplicas(primary bbrtype.MemberName) (counting []bbrtype.MemberName, areAll bool) {
-	var settled, joined []bbrtype.MemberName
+// those that stay. A change of primary may choose among those that leave if no others are
+// there. The caller holds mu.
+func (g *Group) countingReplicas(primary bbrtype.MemberName, isChanging bool) (counting []bbrtype.MemberName, areAll bool) {
+	var settled, joined, leaving []bbrtype.MemberName
 	for id, m := range g.members {
 		switch {
-		case id == primary || m.Draining:
+		case id == primary:
+		case m.Draining:
+			leaving = append(leaving, id)
 		case g.hasJustJoined(id):
 			joined = append(joined, id)
 		default:
@@ -93,10 +113,13 @@
 		}
 	}
 	areAll = len(joined) == 0 && !g.hasLeavingReplica(primary)
-	if len(settled) == 0 {
+	switch {
+	case len(settled) > 0:
+		return settled, areAll
+	case len(joined) > 0 || !isChanging:
 		return joined, areAll
 	}
-	return settled, areAll
+	return leaving, areAll
 }
 
 // isChanging reports whether a change of the group's primary is known to have begun. The
