Log each promotion request with member and fencing token, orders to resume without a reply, and members left out

The log could not tell which order of a promotion was given up and may act late, whether it was accepted, which replicas were left paused at the end of a change, and which members a change left out as unproven. No logic is changed.

--- a/bbrnode/change.go
+++ b/bbrnode/change.go
@@ -261,7 +261,13 @@
 		return c.group.QueryStatus(ctx, id)
 	})
 	statuses = bbrsuccession.AddUnqueried(statuses, append(membersBefore, c.group.PossiblyRunningMembers()...)...)
-	return bbrsuccession.DropUnproven(statuses, func(id bbrtype.MemberName) bool { return c.node.mayHaveConfirmed(c.group, id) })
+	return bbrsuccession.DropUnproven(statuses, func(id bbrtype.MemberName) bool {
+		mayHaveConfirmed := c.node.mayHaveConfirmed(c.group, id)
+		if !mayHaveConfirmed {
+			c.log.WithField("member", id).Info("member left out of the change: it has replied to no instance")
+		}
+		return mayHaveConfirmed
+	})
 }
 
 // promote requests the promotion, and retries, until the member reports that it is
@@ -274,14 +280,17 @@
 	for c.keepClaim(ctx) {
 		if now := c.node.clock.Now(); requestedAt == 0 || now.Sub(requestedAt) > promotionRetryDelay {
 			err := c.node.platform.Promoter.Promote(ctx, request)
+			log := c.log.WithFields(logrus.Fields{"member": request.Member, "fence": request.FencingToken, "tookMs": c.node.clock.Now().Sub(now).Milliseconds()})
 			switch {
 			case errors.Is(err, bbrsuccession.ErrPromotionRefused) && !pending:
 				return err
 			case errors.Is(err, bbrsuccession.ErrPromotionRefused):
+				log.Info("promotion refused, but an earlier request may take effect")
 				return errPromotionPending
 			case err != nil:
-				c.log.WithError(err).Warn("promotion request failed and may have taken effect; retrying")
+				log.WithError(err).Warn("promotion request failed and may have taken effect; retrying")
 			default:
+				log.Info("promotion accepted")
 				requestedAt = now
 			}
 			pending = true
@@ -338,21 +347,32 @@
 		if id == c.oldPrimary.Member && choice.Term > c.oldPrimary.Term {
 			return c.group.StepDown(ctx, id, choice.Term)
 		}
-		return c.group.ResumeReplication(ctx, id)
+		return c.resume(ctx, id)
 	})
 }
 
+// resume resumes replication at a replica.
+func (c *primaryChange) resume(ctx context.Context, id bbrtype.MemberName) (bbrmessage.MemberStatus, error) {
+	status, err := c.group.ResumeReplication(ctx, id)
+	if err != nil {
+		c.log.WithField("member", id).WithError(err).Info("replication not resumed at a replica, which may stay paused")
+	}
+	return status, err
+}
+
 // abort resumes replication at the replicas and releases the claim. If the claim has
 // expired, it does nothing: another change may rely on the paused replication.
 func (c *primaryChange) abort(ctx context.Context) {
 	if !c.isClaimValid() {
+		c.log.Info("the claim has expired; replicas stay paused for the next change")
 		return
 	}
+	c.log.Info("replication resumes and the claim is released")
 	c.node.callMembers(ctx, c.group, c.oldPrimary.Member, func(ctx context.Context, id bbrtype.MemberName) (bbrmessage.MemberStatus, error) {
 		if id == c.oldPrimary.Member {
 			return bbrmessage.MemberStatus{}, nil
 		}
-		return c.group.ResumeReplication(ctx, id)
+		return c.resume(ctx, id)
 	})
 	r := c.known.Record
 	r.Phase = bbrsuccession.PhaseNamed
