Enter a promotion in the group's record before it is ordered, and acknowledge only what the ordered member has

Callers lost seconds of acknowledged commits.

Cause: the order of a promotion has no end that its sender knows. Given up after 1.2 s, it may act seconds later: the kernel sends it again, the platform is slow, a machine stands still. Nothing but the instance that sent it knew of it. The next change of primary could keep the old primary (it responds again before the barrier) or be given up, replication resumed, and commits went on with the other replica, while the member of the late order received nothing. The same holds for all that undoes a barrier after the choice: a replica that restarts and forgets its pause, a RESUME that comes late, a replica that joins.

Change: the group's record has the orders that may still act, each with its fencing token. A change enters its order after the barrier and before the request, reads the list of members, orders the replicas once more to pause, and has to come to the same choice. While an order may act (10 s after the last sign of its holder), an instance acknowledges a commit only if the ordered member is known to have received it, whichever primary confirmed it. An order leaves the record when all its requests were answered, or has expired. Among equal candidates the one ordered before is chosen, so that the late order changes nothing.

Why it works: whenever the order acts, the member leads with all that was acknowledged.

Cost: a write and a read of the store and one round of PAUSE for each promotion. If an order is without an answer, and its member cannot be reached, writes are in doubt until it can, for 10 s at most; before, they were acknowledged and could be lost.

--- a/bbrlink/group.go
+++ b/bbrlink/group.go
@@ -71,6 +71,9 @@
 	// IsChanging reports whether a change of a group's primary is known to have begun. With
 	// nil none is.
 	IsChanging func(group bbrtype.GroupName) bool
+	// OrderedMembers returns the members of a group whose promotion was ordered and may
+	// still take effect. With nil there are none.
+	OrderedMembers func(group bbrtype.GroupName) []bbrtype.MemberName
 	// FetchPeerProofs fetches the proofs of another instance and passes them to
 	// MergeProof.
 	FetchPeerProofs func(ctx context.Context) error
--- a/bbrlink/lasting.go
+++ b/bbrlink/lasting.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/bluebellroute/bluebellroute/bbrdirectory"
 	"github.com/bluebellroute/bluebellroute/bbrmessage"
 	"github.com/bluebellroute/bluebellroute/bbrtype"
 )
@@ -15,6 +17,10 @@
 // confirmed. While a replica leaves or has just joined, or a change of primary has begun, a
 // commit is therefore acknowledged to the caller only when as many settled replicas have
 // received it as the group has synchronous ones.
+//
+// A promotion may take effect seconds after it was ordered, also one that was given up. The
+// member leads with what it has received by then. While that may happen, a commit is
+// acknowledged only when that member has received it.
 
 const (
 	// lastingCheckInterval is the interval at which a commit that waits for a settled
@@ -35,7 +41,8 @@
 // AwaitLasting waits until a commit lasts that the primary has acknowledged and that was
 // sent at sentAt: until settled replicas have received it. It returns false if that is not
 // known by the time at which ctx ends, or once the primary is replaced. It returns true at
-// once if all replicas are settled and no change of primary has begun.
+// once if all replicas are settled, no change of primary has begun and no promotion of
+// another member may take effect.
 func (g *Group) AwaitLasting(ctx context.Context, primary bbrtype.MemberName, commit bbrmessage.LogPosition, sentAt bbrtype.Mono) bool {
 	w := lastingWait{primary: primary, commit: commit, sentAt: sentAt}
 	for {
@@ -69,22 +76,19 @@
 // caller. If replicas are known to have received it, no barrier had been reached when it was
 // sent, so it is a proof.
 func (g *Group) checkLasting(w *lastingWait) (lacking []bbrtype.MemberName) {
-	isChanging := g.isChanging()
+	isChanging, ordered := g.isChanging(), g.orderedMembers()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	counting, areAll := g.countingReplicas(w.primary, isChanging)
-	received := 0
-	for _, id := range counting {
-		if hasReceived(g.received[id], w.commit) {
-			received++
-		} else {
-			lacking = append(lacking, id)
-		}
-	}
+	ordered = g.runningOf(ordered, w.primary)
+	lacking = g.lackingOf(counting, w.commit)
+	received := len(counting) - len(lacking)
+	lackingOrdered := g.lackingOf(ordered, w.commit)
+	lacking = append(lacking, lackingOrdered...)
 	w.needsReplicas = w.needsReplicas || !areAll || isChanging
 	w.isReplaced = g.primary.Term > w.commit.Term
 	required := min(g.settings.SyncReplicas, len(counting))
-	w.lasts = !w.isReplaced && (!w.needsReplicas || received >= required)
+	w.lasts = !w.isReplaced && len(lackingOrdered) == 0 && (!w.needsReplicas || received >= required)
 	if !w.lasts {
 		return lacking
 	}
@@ -95,6 +99,30 @@
 	return nil
 }
 
+// lackingOf returns those of some members that are not known to have received a commit. The
+// caller holds mu.
+func (g *Group) lackingOf(members []bbrtype.MemberName, commit bbrmessage.LogPosition) (lacking []bbrtype.MemberName) {
+	for _, id := range members {
+		if !hasReceived(g.received[id], commit) {
+			lacking = append(lacking, id)
+		}
+	}
+	return lacking
+}
+
+// runningOf returns those of some members other than the primary that possibly run. The
+// caller holds mu.
+func (g *Group) runningOf(members []bbrtype.MemberName, primary bbrtype.MemberName) (running []bbrtype.MemberName) {
+	for _, id := range members {
+		_, isListed := g.members[id]
+		hasExpired := slices.ContainsFunc(g.expired, func(m bbrdirectory.Member) bool { return m.ID == id })
+		if id != primary && (isListed || hasExpired) {
+			running = append(running, id)
+		}
+	}
+	return running
+}
+
 // countingReplicas returns the replicas whose logs count for a commit to last, and whether
 // these are all replicas: those that stay and have not just joined, or if there are none,
 // those that stay. A change of primary may choose among those that leave if no others are
@@ -126,6 +154,15 @@
 // caller does not hold mu.
 func (g *Group) isChanging() bool { return g.IsChanging != nil && g.IsChanging(g.name) }
 
+// orderedMembers returns the members whose promotion may still take effect. The caller does
+// not hold mu.
+func (g *Group) orderedMembers() []bbrtype.MemberName {
+	if g.OrderedMembers == nil {
+		return nil
+	}
+	return g.OrderedMembers(g.name)
+}
+
 // hasJustJoined reports whether a member is not listed for long enough to be settled. The
 // caller holds mu.
 func (g *Group) hasJustJoined(id bbrtype.MemberName) bool {
--- a/bbrnode/change.go
+++ b/bbrnode/change.go
@@ -54,8 +54,9 @@
 // primaryChange is a change of primary (a failover) that this instance carries out.
 // Its steps are: claim the group's record in the store; pause replication at so many
 // replicas that the old primary cannot get any further commit acknowledged (this
-// state is called the barrier); choose a successor and have it promoted; write the
-// new primary to the record; resume replication.
+// state is called the barrier); choose a successor; enter its promotion in the record,
+// and look at the members once more; have it promoted; write the new primary to the record;
+// resume replication.
 //
 // A claim is a lease on the record: it expires unless it is renewed, so that another
 // instance can claim the record if this one fails.
@@ -77,7 +78,14 @@
 	// claimRenewedAt is when the last successful write of the record was sent. The
 	// claim is valid for bbrsuccession.ClaimTTL from then.
 	claimRenewedAt bbrtype.Mono
-	log            logrus.FieldLogger
+	// fence is the fencing token of this change.
+	fence bbrsuccession.FencingToken
+	// barrier holds the members' statuses by which the last choice was made.
+	barrier []bbrsuccession.Candidate
+	// mayBePromoted is set once a promotion was requested without a reply that shows that
+	// the request cannot take effect later.
+	mayBePromoted bool
+	log           logrus.FieldLogger
 }
 
 // changePrimary replaces the primary of a group, unless a change of the group is
@@ -123,11 +131,14 @@
 // run carries out the steps of the change.
 func (c *primaryChange) run(ctx context.Context) error {
 	record := bbrsuccession.Claim(c.known, c.node.settings.Name, c.node.currentEra().Era)
+	record.Orders = c.known.PendingOrders(c.node.clock.Now())
 	if err := c.writeRecord(ctx, record); err != nil {
 		return errors.Wrap(err, "claim the record")
 	}
-	c.log.WithField("fence", record.FencingToken).Info("change of primary begins")
-	choice, barrierAt, err := c.reachBarrier(ctx)
+	c.fence = record.FencingToken
+	c.log = c.log.WithField("fence", c.fence)
+	c.log.WithField("orders", record.Orders).Info("change of primary begins")
+	choice, barrierAt, err := c.chooseAndAnnounce(ctx)
 	if err != nil {
 		c.abort(ctx)
 		return err
@@ -138,7 +149,7 @@
 		c.node.runAsync(func() { _, _ = c.group.StepDown(ctx, c.oldPrimary.Member, c.pauseTerm) })
 	}
 	if choice.Decision == bbrsuccession.DecisionPromote {
-		if err := c.promote(ctx, &choice, record.FencingToken); err != nil {
+		if err := c.promote(ctx, &choice); err != nil {
 			if !errors.Is(err, errPromotionPending) {
 				c.abort(ctx)
 			}
@@ -156,6 +167,48 @@
 	return c.completeChange(ctx, choice)
 }
 
+// chooseAndAnnounce reaches the barrier and returns the choice of the next primary. If that
+// member has to be promoted, its promotion is entered in the record, so that all instances
+// acknowledge a commit only if the member has it. Members that have joined, were restarted
+// or were told to resume replication before the instances knew that may have confirmed
+// commits, so the choice has to be the same once more after it was entered.
+func (c *primaryChange) chooseAndAnnounce(ctx context.Context) (bbrsuccession.Choice, bbrtype.Mono, error) {
+	for {
+		choice, barrierAt, err := c.reachBarrier(ctx)
+		if err != nil || choice.Decision != bbrsuccession.DecisionPromote {
+			return choice, barrierAt, err
+		}
+		if err := c.announce(ctx, choice.Member); err != nil {
+			return choice, barrierAt, err
+		}
+		if err := c.node.readMembers(ctx); err != nil {
+			c.log.WithError(err).Info("the change goes on with the members known here")
+		}
+		again := bbrsuccession.Choose(c.electionInput(c.pauseAgain(ctx)))
+		if again.Decision == choice.Decision && again.Member == choice.Member {
+			return choice, barrierAt, nil
+		}
+		c.log.WithFields(logrus.Fields{"member": choice.Member, "decision": again.Decision, "memberAgain": again.Member, "reason": again.Reason}).Info("the members have changed since the barrier was reached")
+	}
+}
+
+// announce enters the promotion of a member in the record before it is requested.
+func (c *primaryChange) announce(ctx context.Context, member bbrtype.MemberName) error {
+	order := bbrsuccession.Order{Member: member, FencingToken: c.fence}
+	for c.keepClaim(ctx) {
+		err := c.writeRecord(ctx, bbrsuccession.WithOrder(c.known, order, c.node.clock.Now()))
+		if err == nil {
+			return nil
+		}
+		c.log.WithError(err).Info("cannot enter the promotion in the record; retrying")
+		if errors.Is(err, bbrrows.ErrConflict) || errors.Is(err, errStoreRestored) {
+			return errors.Wrap(err, "enter the promotion in the record")
+		}
+		bbrtype.Sleep(ctx, stepRetryDelay)
+	}
+	return errors.New("the claim ran out before the promotion was entered in the record")
+}
+
 // keepClaim renews the claim if it is due for renewal, and reports whether the
 // change may go on: it has not been cancelled or timed out, and its claim is valid.
 func (c *primaryChange) keepClaim(ctx context.Context) bool {
@@ -176,7 +229,7 @@
 // isClaimValid reports whether the claim is still valid. After it expires, another
 // instance may claim the record and start a change of its own.
 func (c *primaryChange) isClaimValid() bool {
-	return c.node.clock.Now().Sub(c.claimRenewedAt) < bbrsuccession.ClaimTTL
+	return c.claimRenewedAt != 0 && c.node.clock.Now().Sub(c.claimRenewedAt) < bbrsuccession.ClaimTTL
 }
 
 // writeRecord writes the group's record if its version in the store is still the one
@@ -184,6 +237,9 @@
 func (c *primaryChange) writeRecord(ctx context.Context, r bbrsuccession.Record) error {
 	sentAt := c.node.clock.Now()
 	known, err := c.node.writeRecord(ctx, recordWrite{group: c.group.Name(), known: c.known, record: r})
+	if errors.Is(err, bbrrows.ErrConflict) {
+		c.claimRenewedAt = 0 // another instance has the record
+	}
 	if err != nil {
 		return err
 	}
@@ -201,14 +257,12 @@
 	command := commandStatus
 	for c.keepClaim(ctx) {
 		statuses := c.pauseReplication(ctx, command)
-		input := bbrsuccession.ElectionInput{
-			Members: statuses, OldPrimary: c.oldPrimary.Member, OldTerm: c.oldPrimary.Term, PauseTerm: c.pauseTerm, KeepOldPrimary: c.mayKeepOldPrimary,
-			SyncReplicas: c.group.Settings().SyncReplicas, LastAcked: c.group.LastAcked(),
-		}
+		input := c.electionInput(statuses)
 		choice := bbrsuccession.Choose(input)
 		if choice.Decision != bbrsuccession.DecisionWait {
 			// The log key looks holds the members' statuses.
 			c.log.WithFields(logrus.Fields{"decision": choice.Decision, "member": choice.Member, "term": choice.Term, "looks": statuses}).Info("barrier reached")
+			c.barrier = statuses
 			return choice, c.node.clock.Now(), nil
 		}
 		reason = choice.Reason
@@ -219,6 +273,15 @@
 	return bbrsuccession.Choice{}, 0, errors.Errorf("the barrier was not reached: %s", reason)
 }
 
+// electionInput returns the input of the choice of the next primary.
+func (c *primaryChange) electionInput(statuses []bbrsuccession.Candidate) bbrsuccession.ElectionInput {
+	return bbrsuccession.ElectionInput{
+		Members: statuses, OldPrimary: c.oldPrimary.Member, OldTerm: c.oldPrimary.Term, PauseTerm: c.pauseTerm, KeepOldPrimary: c.mayKeepOldPrimary,
+		SyncReplicas: c.group.Settings().SyncReplicas, LastAcked: c.group.LastAcked(),
+		Ordered: c.known.OrderedMembers(c.node.clock.Now()),
+	}
+}
+
 // readLists reads the list of members, so that those are paused that have just joined, and
 // which of them have replied. Without the store the change goes on with what is known.
 func (c *primaryChange) readLists(ctx context.Context) {
@@ -245,13 +308,9 @@
 }
 
 // pauseReplication orders every replica to pause replication, sends command to the
-// old primary, and returns the statuses that the members reported. Members that may
-// be running but were not queried, because they joined or left meanwhile, are added
-// as members that did not respond. Those that did not respond and cannot have confirmed
-// a commit are left out.
+// old primary, and returns the members' statuses, see queryCandidates.
 func (c *primaryChange) pauseReplication(ctx context.Context, command oldPrimaryCommand) []bbrsuccession.Candidate {
-	membersBefore := c.group.PossiblyRunningMembers()
-	statuses := c.node.callMembers(ctx, c.group, c.oldPrimary.Member, func(ctx context.Context, id bbrtype.MemberName) (bbrmessage.MemberStatus, error) {
+	return c.queryCandidates(ctx, func(ctx context.Context, id bbrtype.MemberName) (bbrmessage.MemberStatus, error) {
 		switch {
 		case id != c.oldPrimary.Member || command == commandPause:
 			return c.group.PauseReplication(ctx, id, c.pauseTerm)
@@ -260,6 +319,37 @@
 		}
 		return c.group.QueryStatus(ctx, id)
 	})
+}
+
+// errUnresponsive means that a member did not respond at the barrier.
+var errUnresponsive = errors.New("the member did not respond at the barrier")
+
+// pauseAgain orders the replicas that have responded at the barrier, or have joined since,
+// to pause replication. It returns the statuses of all members; the others count as they
+// were at the barrier.
+func (c *primaryChange) pauseAgain(ctx context.Context) []bbrsuccession.Candidate {
+	atBarrier := map[bbrtype.MemberName]bbrsuccession.Candidate{}
+	for _, m := range c.barrier {
+		atBarrier[m.ID] = m
+	}
+	return c.queryCandidates(ctx, func(ctx context.Context, id bbrtype.MemberName) (bbrmessage.MemberStatus, error) {
+		switch m, isKnown := atBarrier[id]; {
+		case isKnown && !m.Responded:
+			return m.Status, errUnresponsive
+		case isKnown && id == c.oldPrimary.Member:
+			return m.Status, nil
+		}
+		return c.group.PauseReplication(ctx, id, c.pauseTerm)
+	})
+}
+
+// queryCandidates calls a function for all members and returns the statuses that they
+// reply with. Members that may be running but were not called, because they joined or left
+// meanwhile, are added as members that did not respond. Those that did not respond and
+// cannot have confirmed a commit are left out.
+func (c *primaryChange) queryCandidates(ctx context.Context, call func(context.Context, bbrtype.MemberName) (bbrmessage.MemberStatus, error)) []bbrsuccession.Candidate {
+	membersBefore := c.group.PossiblyRunningMembers()
+	statuses := c.node.callMembers(ctx, c.group, c.oldPrimary.Member, call)
 	statuses = bbrsuccession.AddUnqueried(statuses, append(membersBefore, c.group.PossiblyRunningMembers()...)...)
 	return bbrsuccession.DropUnproven(statuses, func(id bbrtype.MemberName) bool {
 		mayHaveConfirmed := c.node.mayHaveConfirmed(c.group, id)
@@ -273,27 +363,28 @@
 // promote requests the promotion, and retries, until the member reports that it is
 // the primary of a newer term, which is stored in choice.Term. It returns
 // errPromotionPending if a requested promotion may still take effect.
-func (c *primaryChange) promote(ctx context.Context, choice *bbrsuccession.Choice, fence bbrsuccession.FencingToken) error {
-	request := bbrsuccession.PromotionRequest{Group: c.group.Name(), Member: choice.Member, FencingToken: fence}
+func (c *primaryChange) promote(ctx context.Context, choice *bbrsuccession.Choice) error {
+	request := bbrsuccession.PromotionRequest{Group: c.group.Name(), Member: choice.Member, FencingToken: c.fence}
 	var requestedAt bbrtype.Mono
-	pending := false
+	isPending := false
 	for c.keepClaim(ctx) {
 		if now := c.node.clock.Now(); requestedAt == 0 || now.Sub(requestedAt) > promotionRetryDelay {
 			err := c.node.platform.Promoter.Promote(ctx, request)
-			log := c.log.WithFields(logrus.Fields{"member": request.Member, "fence": request.FencingToken, "tookMs": c.node.clock.Now().Sub(now).Milliseconds()})
+			log := c.log.WithFields(logrus.Fields{"member": request.Member, "tookMs": c.node.clock.Now().Sub(now).Milliseconds()})
 			switch {
-			case errors.Is(err, bbrsuccession.ErrPromotionRefused) && !pending:
+			case errors.Is(err, bbrsuccession.ErrPromotionRefused) && !isPending:
 				return err
 			case errors.Is(err, bbrsuccession.ErrPromotionRefused):
 				log.Info("promotion refused, but an earlier request may take effect")
 				return errPromotionPending
 			case err != nil:
 				log.WithError(err).Warn("promotion request failed and may have taken effect; retrying")
+				c.mayBePromoted = true
 			default:
 				log.Info("promotion accepted")
 				requestedAt = now
 			}
-			pending = true
+			isPending = true
 		}
 		status, err := c.group.QueryStatus(ctx, choice.Member)
 		if err == nil && status.Role == bbrmessage.RolePrimary && status.Term > c.oldPrimary.Term {
@@ -302,7 +393,7 @@
 		}
 		bbrtype.Sleep(ctx, stepRetryDelay)
 	}
-	if pending {
+	if isPending {
 		return errPromotionPending
 	}
 	return errors.New("the claim ran out before the promotion was ordered")
@@ -313,7 +404,7 @@
 // or ctx ends. After
 // a successful write it resumes replication.
 func (c *primaryChange) completeChange(ctx context.Context, choice bbrsuccession.Choice) error {
-	record := c.known.Record
+	record := c.recordAfterOrders()
 	record.Phase, record.Primary, record.Term = bbrsuccession.PhaseNamed, choice.Member, choice.Term
 	if choice.Decision == bbrsuccession.DecisionPromote {
 		// A member that is found to lead does not confirm the record: another one may
@@ -337,6 +428,16 @@
 	return nil
 }
 
+// recordAfterOrders returns the record without the orders that can no longer take effect.
+func (c *primaryChange) recordAfterOrders() bbrsuccession.Record {
+	if c.mayBePromoted {
+		r := c.known.Record
+		r.Orders = c.known.PendingOrders(c.node.clock.Now())
+		return r
+	}
+	return bbrsuccession.WithoutOrders(c.known, c.fence, c.node.clock.Now())
+}
+
 // resumeReplication resumes replication at the replicas and orders the old primary
 // to step down, so that it follows the new primary.
 func (c *primaryChange) resumeReplication(ctx context.Context, choice bbrsuccession.Choice) {
@@ -374,7 +475,7 @@
 		}
 		return c.resume(ctx, id)
 	})
-	r := c.known.Record
+	r := c.recordAfterOrders()
 	r.Phase = bbrsuccession.PhaseNamed
 	if c.oldPrimary.Term >= r.Term {
 		r.Primary, r.Term = c.oldPrimary.Member, c.oldPrimary.Term
--- a/bbrnode/node.go
+++ b/bbrnode/node.go
@@ -291,7 +291,8 @@
 			}
 			g = bbrlink.NewGroup(name, bbrlink.Deps{
 				Dial: n.platform.DialMember, Clock: n.clock, Log: n.log, Tasks: n.background,
-				DataCentre: n.settings.DataCentre, DrainTimeout: n.settings.DrainTimeout, Share: n.share, MayHaveConfirmed: n.mayHaveConfirmed, IsChanging: n.isChanging, ProveFromStore: n.proveFromStore, FetchPeerProofs: n.fetchPeerProofs,
+				DataCentre: n.settings.DataCentre, DrainTimeout: n.settings.DrainTimeout, Share: n.share, MayHaveConfirmed: n.mayHaveConfirmed, IsChanging: n.isChanging, OrderedMembers: n.orderedMembers,
+				ProveFromStore: n.proveFromStore, FetchPeerProofs: n.fetchPeerProofs,
 			})
 			n.groups[name] = g
 		}
@@ -330,11 +331,12 @@
 // setRecord replaces this instance's copy of a group's record if the given one is
 // newer, and uses its primary if that has a newer term. n.mu must be held.
 func (n *Node) setRecord(name bbrtype.GroupName, record bbrsuccession.Record, version bbrrows.Version) {
-	if old := n.records[name]; !version.IsNewerThan(old.Version) {
+	old := n.records[name]
+	if !version.IsNewerThan(old.Version) {
 		return
 	}
-	n.records[name] = bbrsuccession.VersionedRecord{Record: record, Exists: true, Version: version, FirstReadAt: n.clock.Now()}
-	n.log.WithFields(logrus.Fields{"group": name, "phase": record.Phase, "holder": record.Holder, "fence": record.FencingToken, "primary": record.Primary, "term": record.Term}).Info("record of the group")
+	n.records[name] = old.Next(record, version, n.clock.Now())
+	n.log.WithFields(logrus.Fields{"group": name, "phase": record.Phase, "holder": record.Holder, "fence": record.FencingToken, "primary": record.Primary, "term": record.Term, "orders": record.Orders}).Info("record of the group")
 	if g := n.groups[name]; g != nil && record.Phase == bbrsuccession.PhaseNamed && record.Term > g.Primary().Term {
 		g.SetPrimary(bbrlink.Primary{Member: record.Primary, Term: record.Term})
 	}
@@ -353,6 +355,12 @@
 	return bbrsuccession.IsClaimHeld(n.knownRecord(name), n.clock.Now())
 }
 
+// orderedMembers returns the members of a group whose promotion may still take effect, by
+// the newest record that this instance has received.
+func (n *Node) orderedMembers(name bbrtype.GroupName) []bbrtype.MemberName {
+	return n.knownRecord(name).OrderedMembers(n.clock.Now())
+}
+
 // isReady reports whether the instance accepts callers: it is not stopping, has a
 // configuration, and knows the primary of at least one group, or another instance to which
 // it forwards statements of one.
--- /dev/null
+++ b/bbrnode/order_test.go
@@ -0,0 +1,113 @@
+package bbrnode
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"github.com/bluebellroute/bluebellroute/bbrlink"
+	"github.com/bluebellroute/bluebellroute/bbrmessage"
+	"github.com/bluebellroute/bluebellroute/bbrrows"
+	"github.com/bluebellroute/bluebellroute/bbrsuccession"
+	"github.com/bluebellroute/bluebellroute/bbrtype"
+)
+
+// TestOrderIsInTheRecordWhileItMayAct guards against a promotion that acts late and that no
+// other change of primary knows of.
+func TestOrderIsInTheRecordWhileItMayAct(t *testing.T) {
+	replica := bbrmessage.MemberStatus{Role: bbrmessage.RoleReplica, Term: 1, Received: bbrmessage.LogPosition{Term: 1, Index: 9}, PausedTerm: 2}
+	order := bbrsuccession.Order{Member: "r1", FencingToken: 1}
+	tests := map[string]struct {
+		promote func() error
+		// leads is set if the member leads once its promotion was requested.
+		leads bool
+		want  []bbrsuccession.Order
+	}{
+		"the member leads":                       {promote: func() error { return nil }, leads: true},
+		"no reply, and then the member leads":    {promote: func() error { return errors.New("no reply") }, leads: true, want: []bbrsuccession.Order{order}},
+		"refused":                                {promote: func() error { return bbrsuccession.ErrPromotionRefused }},
+		"no reply, and then refused":             {promote: errorsInTurn(errors.New("no reply"), bbrsuccession.ErrPromotionRefused), want: []bbrsuccession.Order{order}},
+		"accepted, but the member does not lead": {promote: errorsInTurn(nil, bbrsuccession.ErrPromotionRefused), want: []bbrsuccession.Order{order}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			members := &fakeMembers{statuses: map[bbrtype.MemberName]bbrmessage.MemberStatus{
+				"old": {Role: bbrmessage.RolePrimary, Term: 1, Received: replica.Received}, "r1": replica, "r2": replica,
+			}}
+			store := &fakeStore{writeErr: func(bbrsuccession.Record) error { return nil }}
+			n, g := newFailoverNode(members, store)
+			var atRequest []bbrsuccession.Order
+			n.platform.Promoter = fakePromoter(func() error {
+				atRequest = store.lastRecord.Orders
+				if tt.leads {
+					members.lead("r1", 2)
+				}
+				return tt.promote()
+			})
+			n.changePrimary(context.Background(), g, bbrlink.Primary{Member: "old", Term: 1}, "test")
+			_ = n.background.Wait()
+			is.Equal(atRequest, []bbrsuccession.Order{order}) // entered before it was requested
+			is.Equal(store.lastRecord.Orders, tt.want)
+		})
+	}
+}
+
+// TestPromotionIsNotRequestedUnlessEntered guards against a promotion of which the record
+// shows nothing because the store did not take the write.
+func TestPromotionIsNotRequestedUnlessEntered(t *testing.T) {
+	is := is.New(t)
+	replica := bbrmessage.MemberStatus{Role: bbrmessage.RoleReplica, Term: 1, Received: bbrmessage.LogPosition{Term: 1, Index: 9}, PausedTerm: 2}
+	members := &fakeMembers{statuses: map[bbrtype.MemberName]bbrmessage.MemberStatus{
+		"old": {Role: bbrmessage.RolePrimary, Term: 1, Received: replica.Received}, "r1": replica, "r2": replica,
+	}}
+	store := &fakeStore{writeErr: func(r bbrsuccession.Record) error {
+		if len(r.Orders) > 0 {
+			return bbrrows.ErrRejected
+		}
+		return nil
+	}}
+	n, g := newFailoverNode(members, store)
+	requests := 0
+	n.platform.Promoter = fakePromoter(func() error {
+		requests++
+		return nil
+	})
+	n.changePrimary(context.Background(), g, bbrlink.Primary{Member: "old", Term: 1}, "test")
+	_ = n.background.Wait()
+	is.Equal(requests, 0)
+}
+
+// TestMemberIsChosenAgainOnceEntered guards against the loss of commits that a replica has
+// confirmed between the barrier and the time at which the instances know of the promotion,
+// as one that was restarted or was told late to resume replication.
+func TestMemberIsChosenAgainOnceEntered(t *testing.T) {
+	is := is.New(t)
+	replica := bbrmessage.MemberStatus{Role: bbrmessage.RoleReplica, Term: 1, Received: bbrmessage.LogPosition{Term: 1, Index: 9}, PausedTerm: 2}
+	members := &fakeMembers{statuses: map[bbrtype.MemberName]bbrmessage.MemberStatus{
+		"old": {Role: bbrmessage.RolePrimary, Term: 1, Received: replica.Received}, "r1": replica, "r2": replica,
+	}}
+	ahead := replica
+	ahead.Received.Index++
+	store := &fakeStore{writeErr: func(r bbrsuccession.Record) error {
+		if len(r.Orders) > 0 && r.Orders[0].Member == "r1" {
+			members.mu.Lock()
+			defer members.mu.Unlock()
+			members.statuses["r2"] = ahead
+		}
+		return nil
+	}}
+	n, g := newFailoverNode(members, store)
+	var entered []bbrsuccession.Order
+	n.platform.Promoter = fakePromoter(func() error {
+		entered = store.lastRecord.Orders
+		members.lead("r2", 2)
+		return nil
+	})
+	n.changePrimary(context.Background(), g, bbrlink.Primary{Member: "old", Term: 1}, "test")
+	_ = n.background.Wait()
+	is.Equal(entered, []bbrsuccession.Order{{Member: "r2", FencingToken: 1}})
+	is.Equal(store.lastRecord.Primary, bbrtype.MemberName("r2"))
+}
--- a/bbrnode/record.go
+++ b/bbrnode/record.go
@@ -104,7 +104,7 @@
 			continue
 		}
 		var have bbrsuccession.Record
-		if json.Unmarshal(r.Value, &have) == nil && have == w.record {
+		if json.Unmarshal(r.Value, &have) == nil && have.Equal(w.record) {
 			return r.Version, nil
 		}
 		n.applyRows([]bbrrows.Row{r})
--- /dev/null
+++ b/bbrsuccession/order_test.go
@@ -0,0 +1,101 @@
+package bbrsuccession
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bluebellroute/bluebellroute/bbrmessage"
+	"github.com/bluebellroute/bluebellroute/bbrrows"
+	"github.com/bluebellroute/bluebellroute/bbrtype"
+)
+
+// TestOrderExpires guards against an order that is forgotten while it may act, and against
+// one that is kept for good.
+func TestOrderExpires(t *testing.T) {
+	const start = bbrtype.Mono(time.Hour)
+	order := Order{Member: "m1", FencingToken: 3}
+	claimed := Record{Phase: PhaseClaimed, FencingToken: 3, Orders: []Order{order}}
+	renewed := claimed
+	renewed.Renewals++
+	named := Record{Phase: PhaseNamed, FencingToken: 3, Orders: []Order{order}}
+	claimedNext := Record{Phase: PhaseClaimed, FencingToken: 4, Orders: []Order{order}}
+	late := start.Add(OrderTTL - time.Second)
+	tests := map[string]struct {
+		records []Record
+		now     bbrtype.Mono
+		want    bool
+	}{
+		"it was just entered":                                {records: []Record{claimed}, now: start.Add(time.Second), want: true},
+		"its time is over":                                   {records: []Record{claimed}, now: start.Add(OrderTTL)},
+		"the holder has renewed its claim since":             {records: []Record{claimed, renewed}, now: start.Add(OrderTTL), want: true},
+		"the record names a primary since":                   {records: []Record{claimed, named}, now: start.Add(OrderTTL)},
+		"the next change keeps it, and its time is over":     {records: []Record{claimed, claimedNext}, now: start.Add(OrderTTL)},
+		"an instance that has just started reads it":         {records: []Record{named}, now: start.Add(OrderTTL - 1), want: true},
+		"the record of the next change has it no more":       {records: []Record{claimed, {Phase: PhaseNamed, FencingToken: 4}}, now: late},
+		"the next change keeps it, and its time is not over": {records: []Record{claimed, claimedNext}, now: start.Add(OrderTTL - 1), want: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var known VersionedRecord
+			for n, r := range tt.records {
+				at := start
+				if n > 0 {
+					at = late
+				}
+				known = known.Next(r, bbrrows.Version{Number: int64(n + 1)}, at)
+			}
+			is.Equal(len(known.PendingOrders(tt.now)) == 1, tt.want)
+			is.Equal(len(known.OrderedMembers(tt.now)) == 1, tt.want)
+		})
+	}
+}
+
+// TestOrdersOfOtherChangesAreKept guards against a change of primary that drops what an
+// earlier one has ordered.
+func TestOrdersOfOtherChangesAreKept(t *testing.T) {
+	is := is.New(t)
+	now := bbrtype.Mono(time.Hour)
+	first, second := Order{Member: "m1", FencingToken: 3}, Order{Member: "m2", FencingToken: 4}
+	known := VersionedRecord{}.Next(Record{Phase: PhaseClaimed, FencingToken: 4, Orders: []Order{first}}, bbrrows.Version{Number: 1}, now)
+	entered := WithOrder(known, second, now)
+	is.Equal(entered.Orders, []Order{first, second})
+	is.Equal(known.Record.Orders, []Order{first}) // the copy is not changed
+	known = known.Next(entered, bbrrows.Version{Number: 2}, now)
+	is.Equal(WithOrder(known, second, now).Orders, []Order{first, second})
+	is.Equal(WithoutOrders(known, 4, now).Orders, []Order{first})
+	is.Equal(len(WithoutOrders(known, 4, now.Add(OrderTTL)).Orders), 0)
+}
+
+// TestOrderedMemberIsPreferred guards against two members that are promoted one after the
+// other because an earlier order acts late.
+func TestOrderedMemberIsPreferred(t *testing.T) {
+	at := func(index uint64, draining bool) Candidate {
+		return Candidate{Responded: true, Draining: draining, Status: bbrmessage.MemberStatus{
+			Role: bbrmessage.RoleReplica, PausedTerm: 2, Received: bbrmessage.LogPosition{Term: 1, Index: index},
+		}}
+	}
+	tests := map[string]struct {
+		r1, r2 Candidate
+		want   bbrtype.MemberName
+	}{
+		"both have the same":                         {r1: at(7, false), r2: at(7, false), want: "r2"},
+		"the other one has more":                     {r1: at(8, false), r2: at(7, false), want: "r1"},
+		"the ordered one has more":                   {r1: at(7, false), r2: at(8, false), want: "r2"},
+		"the ordered one leaves, both have the same": {r1: at(7, false), r2: at(7, true), want: "r1"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			tt.r1.ID, tt.r2.ID = "r1", "r2"
+			got := Choose(ElectionInput{
+				Members: []Candidate{tt.r1, tt.r2}, OldPrimary: "old", OldTerm: 1, PauseTerm: 2, SyncReplicas: 1,
+				Ordered: []bbrtype.MemberName{"r2"},
+			})
+			is.Equal(got.Decision, DecisionPromote)
+			is.Equal(got.Member, tt.want)
+		})
+	}
+}
--- a/bbrsuccession/record.go
+++ b/bbrsuccession/record.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"reflect"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -58,9 +60,27 @@
 	Renewals int `json:"renewed,omitempty"`
 	// Era is the era of the store in which the record was confirmed, see IsConfirmedIn.
 	Era bbrrows.Era `json:"era,omitempty"`
+	// Orders are the promotions that may have been requested and of which it is not known
+	// that they can no longer take effect. A promotion is entered before it is requested.
+	Orders []Order `json:"orders,omitempty"`
+}
+
+// Order is a promotion of a member in a failover.
+type Order struct {
+	Member       bbrtype.MemberName `json:"member"`
+	FencingToken FencingToken       `json:"fence"`
+}
+
+// Equal reports whether two records have the same value.
+func (r Record) Equal(o Record) bool {
+	orders, others := r.Orders, o.Orders
+	r.Orders, o.Orders = nil, nil
+	return slices.Equal(orders, others) && reflect.DeepEqual(r, o)
 }
 
 const (
+	// maxOrders is the highest number of orders in a usable record.
+	maxOrders = 100
 	// maxTerm is the highest term of a usable record, far above all that groups reach, so
 	// that the terms that follow it can be counted.
 	maxTerm = 1 << 53
@@ -82,6 +102,8 @@
 		return Record{}, errors.Errorf("the record has term %d, fencing token %d, %d renewals and era %d", r.Term, r.FencingToken, r.Renewals, r.Era)
 	case r.Phase == PhaseNamed && r.Primary == "":
 		return Record{}, errors.New("the record names no primary")
+	case len(r.Orders) > maxOrders:
+		return Record{}, errors.Errorf("the record has %d orders", len(r.Orders))
 	}
 	return r, nil
 }
@@ -103,6 +125,50 @@
 	Version bbrrows.Version
 	// FirstReadAt is when the instance first read this version.
 	FirstReadAt bbrtype.Mono
+	// orderedAt is when each order of the record was last known to be one that its holder
+	// may request.
+	orderedAt map[Order]bbrtype.Mono
+}
+
+// OrderTTL is how long a promotion may still take effect after the last sign that its
+// holder may request it: the holder's claim expires, its last request times out, and a
+// machine that stood still meanwhile sends what it had not sent.
+const OrderTTL = 10 * time.Second
+
+// Next returns what is known once a version of the record is read at now.
+func (v VersionedRecord) Next(record Record, version bbrrows.Version, now bbrtype.Mono) VersionedRecord {
+	next := VersionedRecord{Record: record, Exists: true, Version: version, FirstReadAt: now, orderedAt: map[Order]bbrtype.Mono{}}
+	for _, o := range record.Orders {
+		at, known := v.orderedAt[o]
+		if !known || record.Phase == PhaseClaimed && o.FencingToken == record.FencingToken {
+			at = now
+		}
+		next.orderedAt[o] = at
+	}
+	return next
+}
+
+// PendingOrders returns the orders of the record that may still take effect.
+func (v VersionedRecord) PendingOrders(now bbrtype.Mono) []Order {
+	var pending []Order
+	for _, o := range v.Record.Orders {
+		if at, known := v.orderedAt[o]; !known || now.Sub(at) < OrderTTL {
+			pending = append(pending, o)
+		}
+	}
+	return pending
+}
+
+// OrderedMembers returns the members whose promotion was entered in the record and may
+// still take effect. A commit that one of them has not received may be lost.
+func (v VersionedRecord) OrderedMembers(now bbrtype.Mono) []bbrtype.MemberName {
+	var members []bbrtype.MemberName
+	for _, o := range v.PendingOrders(now) {
+		if !slices.Contains(members, o.Member) {
+			members = append(members, o.Member)
+		}
+	}
+	return members
 }
 
 // ExpectedVersion returns the version that the row must have for a write of the record.
@@ -174,6 +240,23 @@
 	return r
 }
 
+// WithOrder returns the record to write before the promotion of a member is requested. It
+// keeps the orders of other failovers that may still take effect.
+func WithOrder(current VersionedRecord, o Order, now bbrtype.Mono) Record {
+	r := WithoutOrders(current, o.FencingToken, now)
+	r.Orders = append(r.Orders, o)
+	r.Renewals++
+	return r
+}
+
+// WithoutOrders returns the record without the orders of a failover, none of which can take
+// effect any more, and without those of others that have expired.
+func WithoutOrders(current VersionedRecord, token FencingToken, now bbrtype.Mono) Record {
+	r := current.Record
+	r.Orders = slices.DeleteFunc(current.PendingOrders(now), func(o Order) bool { return o.FencingToken == token })
+	return r
+}
+
 // Claim returns the record to write at the start of a failover in an era of the store.
 func Claim(current VersionedRecord, holder string, era bbrrows.Era) Record {
 	r := current.Record
--- a/bbrsuccession/succession.go
+++ b/bbrsuccession/succession.go
@@ -14,8 +14,10 @@
 //     until no commit of the old primary can be acknowledged any more. This point is
 //     called the barrier.
 //  3. The instance compares the log positions of the members and chooses one.
-//  4. The instance requests the promotion of that member and waits until the member
-//     reports that it leads.
+//  4. The instance enters the promotion of that member in the record, requests it, and
+//     waits until the member reports that it leads. A request may take effect long after
+//     it was given up. Until that can no longer happen, a commit is acknowledged only if
+//     the member has received it, whichever primary has acknowledged it.
 //  5. The instance waits for bbrproof.LeaseDuration, so that the leases that other
 //     instances have on the old primary expire, and then writes the new primary to
 //     the record.
@@ -28,7 +30,9 @@
 package bbrsuccession
 
 import (
+	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -115,6 +119,9 @@
 	// KeepOldPrimary is set if the old primary may stay primary when it responds again
 	// before the barrier is reached.
 	KeepOldPrimary bool
+	// Ordered are members whose promotion may still take effect, see
+	// VersionedRecord.OrderedMembers. Among equal candidates one of them is preferred.
+	Ordered []bbrtype.MemberName
 }
 
 // AddUnqueried appends each of the active members that is missing from queried, as a
@@ -240,7 +247,7 @@
 			notPaused++
 		}
 	}
-	best, ok := mostAdvanced(paused)
+	best, ok := mostAdvanced(paused, in.Ordered)
 	enoughPaused := notPaused <= max(in.SyncReplicas-1, 0)
 	if demoted != nil && (!ok || !enoughPaused && best.Status.Received.IsBefore(demoted.Status.Received)) {
 		best, ok = *demoted, true
@@ -287,7 +294,7 @@
 		}
 	}
 	notPaused := len(in.Members) - len(paused)
-	best, ok := mostAdvanced(paused)
+	best, ok := mostAdvanced(paused, in.Ordered)
 	switch {
 	case !ok || notPaused > max(in.SyncReplicas-1, 0)+1:
 		return Choice{Decision: DecisionWait, Reason: "a newer primary does not answer, nor do all others hold"}
@@ -323,28 +330,32 @@
 }
 
 // mostAdvanced returns the candidate with the highest log position. Among equal
-// candidates, one that is not draining is preferred.
-func mostAdvanced(candidates []Candidate) (Candidate, bool) {
+// candidates, one that is not draining is preferred, and then one that was ordered.
+func mostAdvanced(candidates []Candidate, ordered []bbrtype.MemberName) (Candidate, bool) {
 	if len(candidates) == 0 {
 		return Candidate{}, false
 	}
 	return slices.MaxFunc(candidates, func(a, b Candidate) int {
-		if c := a.Status.Received.Compare(b.Status.Received); c != 0 {
-			return c
-		}
-		if a.Draining != b.Draining {
-			if a.Draining {
-				return -1
-			}
-			return 1
-		}
-		if a.ID > b.ID {
-			return -1
-		}
-		return 1
+		return cmp.Or(
+			a.Status.Received.Compare(b.Status.Received),
+			compareBool(!a.Draining, !b.Draining),
+			compareBool(slices.Contains(ordered, a.ID), slices.Contains(ordered, b.ID)),
+			strings.Compare(string(b.ID), string(a.ID)),
+		)
 	}), true
 }
 
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
 // PauseTerm returns the term under which a failover must pause replication. It is
 // higher than every term in the members' statuses and logs, and not lower than any
 // term under which a member is already paused. The status term of the old primary is
