Resume the replica that may be promoted late before the others

An instance that is cut off from the store and from all others knows nothing of an order and acknowledges what the old primary confirms. If a change keeps that primary while the promotion of a replica may still act, the other replica would confirm commits that the promotion loses. It now stays paused until the one that was ordered to lead has resumed, so that the members themselves refuse.

TestReplicasStayPausedUntilOrderedOneResumes: on the code before, 'resume r2' is sent in the case 'the ordered one does not'.

Cost: if the ordered replica can't be reached, the old primary confirms nothing until the next change; its commits were in doubt in that time already.

--- a/bbrnode/change.go
+++ b/bbrnode/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -401,8 +402,7 @@
 
 // completeChange puts the new primary into use and writes it to the group's record,
 // with retries until the write succeeds, another change has begun, the store was restored
-// or ctx ends. After
-// a successful write it resumes replication.
+// or ctx ends. After a successful write it resumes replication.
 func (c *primaryChange) completeChange(ctx context.Context, choice bbrsuccession.Choice) error {
 	record := c.recordAfterOrders()
 	record.Phase, record.Primary, record.Term = bbrsuccession.PhaseNamed, choice.Member, choice.Term
@@ -441,10 +441,7 @@
 // resumeReplication resumes replication at the replicas and orders the old primary
 // to step down, so that it follows the new primary.
 func (c *primaryChange) resumeReplication(ctx context.Context, choice bbrsuccession.Choice) {
-	c.node.callMembers(ctx, c.group, c.oldPrimary.Member, func(ctx context.Context, id bbrtype.MemberName) (bbrmessage.MemberStatus, error) {
-		if id == choice.Member {
-			return bbrmessage.MemberStatus{}, nil
-		}
+	c.resumeReplicas(ctx, choice.Member, func(ctx context.Context, id bbrtype.MemberName) (bbrmessage.MemberStatus, error) {
 		if id == c.oldPrimary.Member && choice.Term > c.oldPrimary.Term {
 			return c.group.StepDown(ctx, id, choice.Term)
 		}
@@ -452,6 +449,40 @@
 	})
 }
 
+// resumeReplicas calls resume for all members but the primary. While the promotion of a
+// replica may still take effect, the other replicas stay paused until that one has resumed:
+// what they confirm before would be lost by the promotion.
+func (c *primaryChange) resumeReplicas(ctx context.Context, primary bbrtype.MemberName, resume func(context.Context, bbrtype.MemberName) (bbrmessage.MemberStatus, error)) {
+	ordered := c.orderedReplicas(primary)
+	stayPaused := false
+	for _, id := range ordered {
+		if _, err := resume(ctx, id); err != nil {
+			stayPaused = true
+			c.log.WithFields(logrus.Fields{"member": id, "orders": c.known.Record.Orders}).Warn("replicas stay paused: one whose promotion may take effect has not resumed")
+		}
+	}
+	c.node.callMembers(ctx, c.group, c.oldPrimary.Member, func(ctx context.Context, id bbrtype.MemberName) (bbrmessage.MemberStatus, error) {
+		if id == primary || slices.Contains(ordered, id) || stayPaused && id != c.oldPrimary.Member {
+			return bbrmessage.MemberStatus{}, nil
+		}
+		return resume(ctx, id)
+	})
+}
+
+// orderedReplicas returns the replicas that possibly run and whose promotion may still take
+// effect.
+func (c *primaryChange) orderedReplicas(primary bbrtype.MemberName) []bbrtype.MemberName {
+	running := c.group.PossiblyRunningMembers()
+	var ordered []bbrtype.MemberName
+	for _, o := range c.recordAfterOrders().Orders {
+		isReplica := o.Member != primary && o.Member != c.oldPrimary.Member
+		if isReplica && slices.Contains(running, o.Member) && !slices.Contains(ordered, o.Member) {
+			ordered = append(ordered, o.Member)
+		}
+	}
+	return ordered
+}
+
 // resume resumes replication at a replica.
 func (c *primaryChange) resume(ctx context.Context, id bbrtype.MemberName) (bbrmessage.MemberStatus, error) {
 	status, err := c.group.ResumeReplication(ctx, id)
@@ -469,12 +500,7 @@
 		return
 	}
 	c.log.Info("replication resumes and the claim is released")
-	c.node.callMembers(ctx, c.group, c.oldPrimary.Member, func(ctx context.Context, id bbrtype.MemberName) (bbrmessage.MemberStatus, error) {
-		if id == c.oldPrimary.Member {
-			return bbrmessage.MemberStatus{}, nil
-		}
-		return c.resume(ctx, id)
-	})
+	c.resumeReplicas(ctx, c.oldPrimary.Member, c.resume)
 	r := c.recordAfterOrders()
 	r.Phase = bbrsuccession.PhaseNamed
 	if c.oldPrimary.Term >= r.Term {
--- a/bbrnode/change_test.go
+++ b/bbrnode/change_test.go
@@ -30,6 +30,22 @@
 	statements []string
 	// onStatement, if set, is called with each statement.
 	onStatement func()
+	// unreachable holds the members to which no connection can be opened.
+	unreachable map[bbrtype.MemberName]bool
+}
+
+// isUnreachable reports whether no connection to a member can be opened.
+func (f *fakeMembers) isUnreachable(id bbrtype.MemberName) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.unreachable[id]
+}
+
+// setUnreachable lets connections to a member fail, those that are open as well.
+func (f *fakeMembers) setUnreachable(id bbrtype.MemberName) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unreachable = map[bbrtype.MemberName]bool{id: true}
 }
 
 // hasReceived reports whether any member has received a statement with a prefix.
@@ -85,6 +101,9 @@
 }
 
 func (c *fakeConn) Receive(time.Time) (bbrmessage.Reply, error) {
+	if c.members.isUnreachable(c.id) {
+		return bbrmessage.Reply{}, errors.New("no reply")
+	}
 	return bbrmessage.Reply{Rows: []string{string(c.id)}}, nil
 }
 
@@ -234,6 +253,9 @@
 	g := bbrlink.NewGroup("orders", bbrlink.Deps{
 		Clock: n.clock, Log: log, Tasks: n.background, Share: n.share,
 		Dial: func(_ context.Context, m bbrdirectory.Member) (bbrmessage.MemberConn, error) {
+			if members.isUnreachable(m.ID) {
+				return nil, errors.New("no reply")
+			}
 			return &fakeConn{members: members, id: m.ID}, nil
 		},
 	})
--- a/bbrnode/order_test.go
+++ b/bbrnode/order_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -111,3 +113,45 @@
 	is.Equal(entered, []bbrsuccession.Order{{Member: "r2", FencingToken: 1}})
 	is.Equal(store.lastRecord.Primary, bbrtype.MemberName("r2"))
 }
+
+// TestReplicasStayPausedUntilOrderedOneResumes guards against the loss of commits at an
+// instance that knows nothing of an order: the old primary is kept, and the other replica
+// confirms its commits while the one that was ordered to lead receives nothing.
+func TestReplicasStayPausedUntilOrderedOneResumes(t *testing.T) {
+	tests := map[string]struct {
+		unreachable bbrtype.MemberName
+		// isRefused is set if the order is this change's own, which is refused.
+		isRefused   bool
+		wantResumed []string
+	}{
+		"the ordered one resumes":       {wantResumed: []string{"resume r1", "resume r2"}},
+		"the ordered one does not":      {unreachable: "r1"},
+		"the other one does not":        {unreachable: "r2", wantResumed: []string{"resume r1"}},
+		"the order was refused":         {isRefused: true, wantResumed: []string{"resume r1", "resume r2"}},
+		"it was refused, and is silent": {isRefused: true, unreachable: "r1", wantResumed: []string{"resume r2"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			replica := bbrmessage.MemberStatus{Role: bbrmessage.RoleReplica, Term: 1, Received: bbrmessage.LogPosition{Term: 1, Index: 9}, PausedTerm: 2}
+			members := &fakeMembers{statuses: map[bbrtype.MemberName]bbrmessage.MemberStatus{
+				"old": {Role: bbrmessage.RolePrimary, Term: 1, Received: replica.Received}, "r1": replica, "r2": replica,
+			}}
+			n, g := newFailoverNode(members, &fakeStore{writeErr: func(bbrsuccession.Record) error { return nil }})
+			n.platform.Promoter = fakePromoter(func() error {
+				members.setUnreachable(tt.unreachable)
+				return bbrsuccession.ErrPromotionRefused
+			})
+			if !tt.isRefused {
+				record := bbrsuccession.Record{Phase: bbrsuccession.PhaseNamed, FencingToken: 7, Primary: "old", Term: 1, Orders: []bbrsuccession.Order{{Member: "r1", FencingToken: 6}}}
+				n.records["orders"] = bbrsuccession.VersionedRecord{}.Next(record, bbrrows.Version{}, n.clock.Now())
+			}
+			n.changePrimary(context.Background(), g, bbrlink.Primary{Member: "old", Term: 1}, "test")
+			_ = n.background.Wait()
+			for _, s := range []string{"resume r1", "resume r2"} {
+				isReached := !strings.HasSuffix(s, string(tt.unreachable)) || tt.unreachable == ""
+				is.Equal(isReached && members.hasReceived(s), slices.Contains(tt.wantResumed, s))
+			}
+		})
+	}
+}
