Do not choose past a member whose ordered promotion may have acted unseen

An instance orders a promotion and ends. The order acts: that member leads, and the other instances that reach it use it. An instance that reaches only the old primary, which follows by now, took that one for demoted under its own term and could have it promoted again, without what the newer primary had acknowledged since. While the record has the order and that member does not respond, the choice is now made as if a newer primary existed: all members but that one have to be paused, the old primary too. And a primary that was ordered to pause does not count as paused, since it receives nothing.

Cost: none unless an order is pending and its member does not respond.

--- a/bbrnode/change.go
+++ b/bbrnode/change.go
@@ -43,8 +43,8 @@
 const (
 	commandStatus   oldPrimaryCommand = "look"
 	commandStepDown oldPrimaryCommand = "stepDown"
-	// commandPause is sent if a newer primary exists. The old primary is then one of
-	// the members that have to be paused.
+	// commandPause is sent if a newer primary exists, or may exist. The old primary is
+	// then one of the members that have to be paused.
 	commandPause oldPrimaryCommand = "hold"
 )
 
@@ -300,7 +300,7 @@
 // nextCommand returns the command that the old primary is sent next.
 func (c *primaryChange) nextCommand(input bbrsuccession.ElectionInput) oldPrimaryCommand {
 	switch {
-	case bbrsuccession.IsSuperseded(input.Members, input.OldPrimary, input.OldTerm):
+	case bbrsuccession.MayBeSuperseded(input):
 		return commandPause
 	case c.node.clock.Now().Sub(c.startedAt) > stepDownDelay && bbrsuccession.MayDemoteOldPrimary(input):
 		return commandStepDown
--- a/bbrsuccession/order_test.go
+++ b/bbrsuccession/order_test.go
@@ -99,3 +99,54 @@
 		})
 	}
 }
+
+// TestPromotionThatActedUnseen guards against the loss of commits of a member that was
+// ordered to lead by an instance that has ended, and that does not respond.
+func TestPromotionThatActedUnseen(t *testing.T) {
+	demoted := replica("old", 9, 0)
+	tests := map[string]struct {
+		members []Candidate
+		ordered []bbrtype.MemberName
+		want    Decision
+		member  bbrtype.MemberName
+	}{
+		"nothing was ordered": {
+			members: []Candidate{demoted, replica("r1", 9, 2), unreachable("r2")}, want: DecisionPromote, member: "r1",
+		},
+		"the one that was ordered is silent, and so is the other one": {
+			members: []Candidate{demoted, unreachable("r1"), unreachable("r2")}, ordered: []bbrtype.MemberName{"r1"}, want: DecisionWait,
+		},
+		"the one that was ordered is silent, the old primary is not paused": {
+			members: []Candidate{demoted, unreachable("r1"), replica("r2", 9, 2)}, ordered: []bbrtype.MemberName{"r1"}, want: DecisionWait,
+		},
+		"the one that was ordered is silent, all others are paused": {
+			members: []Candidate{replica("old", 9, 2), unreachable("r1"), replica("r2", 9, 2)}, ordered: []bbrtype.MemberName{"r1"},
+			want: DecisionPromote, member: "old",
+		},
+		"the one that was ordered responds and does not lead": {
+			members: []Candidate{demoted, replica("r1", 9, 2), unreachable("r2")}, ordered: []bbrtype.MemberName{"r1"},
+			want: DecisionPromote, member: "r1",
+		},
+		"the old primary leads": {
+			members: []Candidate{primary("old", 9, 1), unreachable("r1"), replica("r2", 9, 2)}, ordered: []bbrtype.MemberName{"r1"}, want: DecisionWait,
+		},
+		"a primary that was ordered to pause replicates all the same": {
+			members: []Candidate{pausedPrimary("old", 9, 1, 2), newerReplica("r1", 7, 2), unreachable("r2")}, want: DecisionWait,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			got := Choose(ElectionInput{Members: tt.members, OldPrimary: "old", OldTerm: 1, PauseTerm: 2, SyncReplicas: 1, Ordered: tt.ordered})
+			is.Equal(got.Decision, tt.want)
+			is.Equal(got.Member, tt.member)
+		})
+	}
+}
+
+// pausedPrimary returns a primary that reports the term of an order to pause.
+func pausedPrimary(id bbrtype.MemberName, n uint64, term, pausedTerm bbrtype.Term) Candidate {
+	c := primary(id, n, term)
+	c.Status.PausedTerm = pausedTerm
+	return c
+}
--- a/bbrsuccession/succession.go
+++ b/bbrsuccession/succession.go
@@ -229,7 +229,7 @@
 	if c, ok := currentLeader(in); ok {
 		return c
 	}
-	if IsSuperseded(in.Members, in.OldPrimary, in.OldTerm) {
+	if MayBeSuperseded(in) {
 		return chooseIfSuperseded(in)
 	}
 	var paused []Candidate
@@ -241,7 +241,7 @@
 			if m.Responded && m.Status.Role == bbrmessage.RoleReplica {
 				demoted = &in.Members[i]
 			}
-		case m.Responded && m.Status.PausedTerm >= in.PauseTerm:
+		case isPaused(m, in.PauseTerm):
 			paused = append(paused, m)
 		default:
 			notPaused++
@@ -265,6 +265,12 @@
 	return Choice{Decision: DecisionPromote, Member: best.ID, Term: in.PauseTerm}
 }
 
+// isPaused reports whether a member is a replica that has paused replication. A primary
+// receives nothing, so that an order to pause does not keep it from acknowledging commits.
+func isPaused(m Candidate, term bbrtype.Term) bool {
+	return m.Responded && m.Status.Role == bbrmessage.RoleReplica && m.Status.PausedTerm >= term
+}
+
 // IsSuperseded reports whether the members' statuses show a term above oldTerm, that
 // is, whether a newer primary has already replaced the old one. The log of the old
 // primary may then lack acknowledged commits.
@@ -282,14 +288,33 @@
 	return false
 }
 
+// MayBeSuperseded reports whether a newer primary has replaced the old one, or may have: the
+// old primary does not lead, and a member whose promotion was ordered does not respond. That
+// one may lead, and acknowledge commits that the old primary lacks.
+func MayBeSuperseded(in ElectionInput) bool {
+	if IsSuperseded(in.Members, in.OldPrimary, in.OldTerm) {
+		return true
+	}
+	isDemoted, isOrderedSilent := false, false
+	for _, m := range in.Members {
+		switch {
+		case m.ID == in.OldPrimary:
+			isDemoted = m.Responded && m.Status.Role == bbrmessage.RoleReplica
+		case slices.Contains(in.Ordered, m.ID):
+			isOrderedSilent = isOrderedSilent || !m.Responded
+		}
+	}
+	return isDemoted && isOrderedSilent
+}
+
 // chooseIfSuperseded decides the next step if a newer primary has replaced the old
-// one and does not respond. One of the members that are not paused is the newer
+// one, or may have, and does not respond. One of the members that are not paused is the newer
 // primary. Besides it, at most SyncReplicas - 1 members may be unpaused, and the
 // old primary counts like any other member.
 func chooseIfSuperseded(in ElectionInput) Choice {
 	var paused []Candidate
 	for _, m := range in.Members {
-		if m.Responded && m.Status.PausedTerm >= in.PauseTerm {
+		if isPaused(m, in.PauseTerm) {
 			paused = append(paused, m)
 		}
 	}
