--- a/bbrnode/collector.go
+++ b/bbrnode/collector.go
@@ -17,6 +17,7 @@
 	connectionsDesc      = prometheus.NewDesc("bbr_node_group_connections", "Open connections to members.", []string{"group"}, nil)
 	dialsDesc            = prometheus.NewDesc("bbr_node_group_dials_total", "Attempts to open a connection to a member, by result.", []string{"group", "result"}, nil)
 	termDesc             = prometheus.NewDesc("bbr_node_group_term", "Term of the primary in use, 0 if none is known.", []string{"group"}, nil)
+	ordersDesc           = prometheus.NewDesc("bbr_node_group_orders", "Promotions of the group's members that may still take effect.", []string{"group"}, nil)
 	proofAgeDesc         = prometheus.NewDesc("bbr_node_group_proof_age_seconds", "Age of the newest proof of the primary in use.", []string{"group"}, nil)
 )
 
@@ -25,7 +26,7 @@
 
 // Describe implements prometheus.Collector.
 func (c collector) Describe(out chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{versionDesc, sessionsDesc, instancesDesc, tableUnavailableDesc, storeEraDesc, unconfirmedDesc, forwardedDesc, holderDesc, waitingDesc, connectionsDesc, dialsDesc, termDesc, proofAgeDesc} {
+	for _, d := range []*prometheus.Desc{versionDesc, sessionsDesc, instancesDesc, tableUnavailableDesc, storeEraDesc, unconfirmedDesc, forwardedDesc, holderDesc, waitingDesc, connectionsDesc, dialsDesc, termDesc, ordersDesc, proofAgeDesc} {
 		out <- d
 	}
 }
@@ -68,6 +69,7 @@
 		}
 		proof := g.ExportProof()
 		gauge(termDesc, float64(proof.Term), name)
+		gauge(ordersDesc, float64(len(n.knownRecord(g.Name()).PendingOrders(n.clock.Now()))), name)
 		gauge(proofAgeDesc, proof.ProofAge.Seconds(), name)
 	}
 }
--- a/bbrnode/metric_test.go
+++ b/bbrnode/metric_test.go
@@ -15,6 +15,8 @@
 
 	"github.com/bluebellroute/bluebellroute/bbrcatalog"
 	"github.com/bluebellroute/bluebellroute/bbrlink"
+	"github.com/bluebellroute/bluebellroute/bbrrows"
+	"github.com/bluebellroute/bluebellroute/bbrsuccession"
 	"github.com/bluebellroute/bluebellroute/bbrtype"
 )
 
@@ -43,6 +45,8 @@
 	is := is.New(t)
 	n := newTestNode()
 	n.unavailable["members"] = true
+	record := bbrsuccession.Record{Phase: bbrsuccession.PhaseNamed, Primary: "m1", Term: 3, Orders: []bbrsuccession.Order{{Member: "m2", FencingToken: 5}}}
+	n.records["orders"] = bbrsuccession.VersionedRecord{}.Next(record, bbrrows.Version{}, n.clock.Now())
 	families := gatherMetrics(is, n)
 	is.Equal(families["bbr_node_configuration_version"].Metric[0].Gauge.GetValue(), 7.0)
 	is.Equal(families["bbr_node_instances"].Metric[0].Gauge.GetValue(), 1.0)
@@ -53,6 +57,7 @@
 	is.Equal(unavailable["members"], 1.0)
 	is.Equal(unavailable["configuration"], 0.0)
 	is.Equal(families["bbr_node_group_term"].Metric[0].Gauge.GetValue(), 0.0)
+	is.Equal(families["bbr_node_group_orders"].Metric[0].Gauge.GetValue(), 1.0)
 }
 
 func TestSeriesOfRoutesAreBounded(t *testing.T) {
