Do not keep an order of a promotion that was not sent as one that may act

A request that got no connection leaves nothing behind: the change may be given up, with replication resumed, and the record drops the order. Cases in TestOrderIsInTheRecordWhileItMayAct.

--- a/bbrnode/change.go
+++ b/bbrnode/change.go
@@ -378,14 +378,15 @@
 			case errors.Is(err, bbrsuccession.ErrPromotionRefused):
 				log.Info("promotion refused, but an earlier request may take effect")
 				return errPromotionPending
+			case errors.Is(err, bbrsuccession.ErrPromotionNotSent):
+				log.WithError(err).Warn("promotion request not sent; retrying")
 			case err != nil:
 				log.WithError(err).Warn("promotion request failed and may have taken effect; retrying")
-				c.mayBePromoted = true
+				c.mayBePromoted, isPending = true, true
 			default:
 				log.Info("promotion accepted")
-				requestedAt = now
+				requestedAt, isPending = now, true
 			}
-			isPending = true
 		}
 		status, err := c.group.QueryStatus(ctx, choice.Member)
 		if err == nil && status.Role == bbrmessage.RolePrimary && status.Term > c.oldPrimary.Term {
--- a/bbrnode/order_test.go
+++ b/bbrnode/order_test.go
@@ -29,6 +29,8 @@
 	}{
 		"the member leads":                       {promote: func() error { return nil }, leads: true},
 		"no reply, and then the member leads":    {promote: func() error { return errors.New("no reply") }, leads: true, want: []bbrsuccession.Order{order}},
+		"not sent, and then the member leads":    {promote: func() error { return errors.Wrap(bbrsuccession.ErrPromotionNotSent, "connect") }, leads: true},
+		"not sent, and then refused":             {promote: errorsInTurn(bbrsuccession.ErrPromotionNotSent, bbrsuccession.ErrPromotionRefused)},
 		"refused":                                {promote: func() error { return bbrsuccession.ErrPromotionRefused }},
 		"no reply, and then refused":             {promote: errorsInTurn(errors.New("no reply"), bbrsuccession.ErrPromotionRefused), want: []bbrsuccession.Order{order}},
 		"accepted, but the member does not lead": {promote: errorsInTurn(nil, bbrsuccession.ErrPromotionRefused), want: []bbrsuccession.Order{order}},
--- a/bbrsuccession/succession.go
+++ b/bbrsuccession/succession.go
@@ -45,6 +45,10 @@
 // member is not running.
 var ErrPromotionRefused = errors.New("the member can't be promoted")
 
+// ErrPromotionNotSent means that nothing of a request for a promotion has left, so that it
+// cannot take effect.
+var ErrPromotionNotSent = errors.New("the request for a promotion was not sent")
+
 const (
 	// UnresponsiveTimeout is how long a primary may fail to respond before it is replaced.
 	UnresponsiveTimeout = 600 * time.Millisecond
