Count a replica whose process was replaced as one that has just joined

Cause: a member may start again under its id. The new process holds nothing, and no order to pause replication of before applies to it. The group went on counting it as settled, and a late reply from the former process, taken in after the entry of the new one, counted as what the new one has received.

The other tests of bbrlink differ only in the call of recordReceived, which takes the member in place of its id; no condition is changed.

Why it works: the time of listing starts anew with the process, so that for ten seconds a settled replica has to have each commit, as for any replica that joins; and a position is taken only for the process that reported it. A change of primary still waits for the id if its former process has replied: that record only makes a change wait, never skip a member.

--- a/bbrlink/group.go
+++ b/bbrlink/group.go
@@ -89,7 +89,7 @@
 	members   map[bbrtype.MemberName]bbrdirectory.Member
 	// drainingSince is when this instance first saw each draining member drain.
 	drainingSince map[bbrtype.MemberName]bbrtype.Mono
-	// firstListed is when this instance first saw each member listed.
+	// firstListed is when this instance first saw the process of each member listed.
 	firstListed map[bbrtype.MemberName]bbrtype.Mono
 	// firstListing is when this instance first saw any member listed.
 	firstListing bbrtype.Mono
@@ -191,6 +191,8 @@
 		old, known := g.members[m.ID]
 		g.members[m.ID] = m
 		if known && old.StartedAtMs != m.StartedAtMs {
+			// The new process holds nothing of before, and no order to pause it.
+			g.firstListed[m.ID] = g.Clock.Now()
 			delete(g.received, m.ID)
 			g.closeIdleTo(m.ID)
 		}
--- a/bbrlink/joining_test.go
+++ b/bbrlink/joining_test.go
@@ -92,7 +92,7 @@
 				g.firstListed[id] = g.Clock.Now().Add(-ago)
 			}
 			for id, position := range tt.received {
-				g.recordReceived(id, position)
+				g.recordReceived(g.members[id], position)
 			}
 			ctx, cancel := context.WithTimeout(context.Background(), 3*lastingCheckInterval)
 			defer cancel()
@@ -134,7 +134,7 @@
 			reply := bbrmessage.Reply{Signature: "sig", State: bbrmessage.StateIdle, Position: bbrmessage.LogPosition{Term: 1, Index: 7}}
 			g.RecordReply(&Conn{member: bbrdirectory.Member{ID: "p"}}, ReplyRecord{SentAt: sentAt, Reply: reply, IsWriteCommit: true})
 			if tt.settledHas {
-				g.recordReceived("r", reply.Position)
+				g.recordReceived(g.members["r"], reply.Position)
 			}
 			g.checkLasting(&lastingWait{primary: "p", commit: reply.Position, sentAt: sentAt})
 			is.Equal(g.IsProvenAt(g.Primary(), sentAt), tt.want)
@@ -176,7 +176,7 @@
 			isChanging := true
 			g.IsChanging = func(bbrtype.GroupName) bool { return isChanging }
 			g.SetMembers(g.Members(), nil, bbrcatalog.GroupSettings{Group: "g", MaxConnections: 23, SyncReplicas: 1})
-			g.recordReceived("r", lacks)
+			g.recordReceived(g.members["r"], lacks)
 			w := lastingWait{primary: "p", commit: bbrmessage.LogPosition{Term: 1, Index: 7}, sentAt: g.Clock.Now()}
 			g.checkLasting(&w)
 			is.True(!w.lasts)
--- a/bbrlink/lasting.go
+++ b/bbrlink/lasting.go
@@ -203,6 +203,7 @@
 		g.mu.Lock()
 		inProgress := g.positionQueries[id]
 		g.positionQueries[id] = true
+		m := g.members[id]
 		g.mu.Unlock()
 		if inProgress {
 			continue
@@ -213,16 +214,18 @@
 			defer g.mu.Unlock()
 			delete(g.positionQueries, id)
 			if err == nil && status.Role == bbrmessage.RoleReplica {
-				g.recordReceived(id, status.Received)
+				g.recordReceived(m, status.Received)
 			}
 			return nil
 		})
 	}
 }
 
-// recordReceived records the log position that a replica has reported. The caller holds mu.
-func (g *Group) recordReceived(id bbrtype.MemberName, position bbrmessage.LogPosition) {
-	if _, listed := g.members[id]; listed {
-		g.received[id] = position
+// recordReceived records the log position that a replica has reported, unless another
+// process of the replica is listed by now, which holds nothing of before. The caller holds
+// mu.
+func (g *Group) recordReceived(m bbrdirectory.Member, position bbrmessage.LogPosition) {
+	if current, listed := g.members[m.ID]; listed && current.StartedAtMs == m.StartedAtMs {
+		g.received[m.ID] = position
 	}
 }
--- a/bbrlink/lasting_test.go
+++ b/bbrlink/lasting_test.go
@@ -63,7 +63,7 @@
 				g.replicaLeftAt = g.replicaLeftAt.Add(-tt.left)
 			}
 			for id, position := range tt.received {
-				g.recordReceived(id, position)
+				g.recordReceived(g.members[id], position)
 			}
 			ctx, cancel := context.WithTimeout(context.Background(), 3*lastingCheckInterval)
 			defer cancel()
--- a/bbrlink/ordered_test.go
+++ b/bbrlink/ordered_test.go
@@ -57,7 +57,7 @@
 			g.SetMembers([]bbrdirectory.Member{{ID: "p", Group: "g"}, {ID: "r", Group: "g"}, {ID: "o", Group: "g"}}, expired,
 				bbrcatalog.GroupSettings{Group: "g", MaxConnections: 23, SyncReplicas: 1})
 			for id, position := range tt.received {
-				g.recordReceived(id, position)
+				g.recordReceived(g.members[id], position)
 			}
 			ctx, cancel := context.WithTimeout(context.Background(), 3*lastingCheckInterval)
 			defer cancel()
--- a/bbrlink/reply.go
+++ b/bbrlink/reply.go
@@ -49,7 +49,7 @@
 	}
 	g.scheduler.RecordReply(id, now.Sub(r.SentAt), r.Reply.Position, now)
 	if id != g.primary.Member {
-		g.recordReceived(id, r.Reply.Position)
+		g.recordReceived(c.member, r.Reply.Position)
 		return 0
 	}
 	if r.IsWriteCommit {
