Acknowledge no commit on the word of a replica that a change of primary may leave out

What callers saw: acknowledged commits that are missing after a promotion (LOST), if the only replica that confirmed them is reached by the primary but by no instance, and the replica that is promoted has stopped receiving.

Why it works: a replica is settled only once the store records that it has replied to an instance. Each change reads these records after its claim and leaves no such replica out. Where no settled replica stays, the others count by what they have reported, but from the claim of a change on not those that it may leave out. The same commits prove nothing of the primary until a settled replica has them.

--- a/bbrlink/group.go
+++ b/bbrlink/group.go
@@ -68,6 +68,10 @@
 	// MayHaveConfirmed reports whether a member may have confirmed commits, see
 	// FirstListed. With nil every member may.
 	MayHaveConfirmed func(g *Group, id bbrtype.MemberName) bool
+	// SeenMembers returns the members of which the store records that they have replied to
+	// an instance. No change of primary leaves them out. With nil none leaves out any
+	// member. The result is not changed later.
+	SeenMembers func() map[bbrtype.MemberName]bool
 	// IsChanging reports whether a change of a group's primary is known to have begun. With
 	// nil none is.
 	IsChanging func(group bbrtype.GroupName) bool
--- a/bbrlink/lasting.go
+++ b/bbrlink/lasting.go
@@ -18,6 +18,10 @@
 // commit is therefore acknowledged to the caller only when as many settled replicas have
 // received it as the group has synchronous ones.
 //
+// A change of primary leaves out a replica that has replied to no instance, though the
+// primary may reach it. Such a replica is not settled, however long it is listed. Neither is
+// one that may run although its entry has expired.
+//
 // A promotion may take effect seconds after it was ordered, also one that was given up. The
 // member leads with what it has received by then. While that may happen, a commit is
 // acknowledged only when that member has received it.
@@ -30,7 +34,8 @@
 	// replies to commits that it confirmed may still be on their way.
 	leftReplicaTTL = time.Second
 	// settlingTime is how long a member must have been listed to count as settled. All
-	// other instances list it by then.
+	// other instances list it by then. A change of primary waits at least as long for a
+	// member that has not shown that it runs.
 	settlingTime = 10 * time.Second
 	// firstListingTime is how long after its first member the members of a group may be
 	// listed that count as settled from the beginning: an instance that has just started
@@ -76,18 +81,17 @@
 // caller. If replicas are known to have received it, no barrier had been reached when it was
 // sent, so it is a proof.
 func (g *Group) checkLasting(w *lastingWait) (lacking []bbrtype.MemberName) {
-	isChanging, ordered := g.isChanging(), g.orderedMembers()
+	view, ordered := g.viewChange(), g.orderedMembers()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	counting, areAll := g.countingReplicas(w.primary, isChanging)
+	counting, required, areAll := g.countingReplicas(w.primary, view)
 	ordered = g.runningOf(ordered, w.primary)
 	lacking = g.lackingOf(counting, w.commit)
 	received := len(counting) - len(lacking)
 	lackingOrdered := g.lackingOf(ordered, w.commit)
 	lacking = append(lacking, lackingOrdered...)
-	w.needsReplicas = w.needsReplicas || !areAll || isChanging
+	w.needsReplicas = w.needsReplicas || !areAll || view.isChanging
 	w.isReplaced = g.primary.Term > w.commit.Term
-	required := min(g.settings.SyncReplicas, len(counting))
 	w.lasts = !w.isReplaced && len(lackingOrdered) == 0 && (!w.needsReplicas || received >= required)
 	if !w.lasts {
 		return lacking
@@ -123,36 +127,62 @@
 	return running
 }
 
-// countingReplicas returns the replicas whose logs count for a commit to last, and whether
-// these are all replicas: those that stay and have not just joined, or if there are none,
-// those that stay. A change of primary may choose among those that leave if no others are
-// there. The caller holds mu.
-func (g *Group) countingReplicas(primary bbrtype.MemberName, isChanging bool) (counting []bbrtype.MemberName, areAll bool) {
-	var settled, joined, leaving []bbrtype.MemberName
+// countingReplicas returns the replicas whose logs count for a commit to last, how many of
+// them have to have received it, and whether these are all replicas. Settled replicas that
+// stay count, or if there are none, the others that stay. From the claim of a change of
+// primary on, a replica among those others counts only if the change does not leave it out.
+// A change of primary may choose among those that leave if no others are there. The caller
+// holds mu.
+func (g *Group) countingReplicas(primary bbrtype.MemberName, view changeView) (counting []bbrtype.MemberName, required int, areAll bool) {
+	var settled, unsettled, leaving []bbrtype.MemberName
 	for id, m := range g.members {
 		switch {
 		case id == primary:
 		case m.Draining:
 			leaving = append(leaving, id)
-		case g.hasJustJoined(id):
-			joined = append(joined, id)
+		case g.isUnsettled(id, view):
+			unsettled = append(unsettled, id)
 		default:
 			settled = append(settled, id)
 		}
 	}
-	areAll = len(joined) == 0 && !g.hasLeavingReplica(primary)
+	areAll = len(unsettled) == 0 && !g.hasLeavingReplica(primary) && !g.hasExpiredReplica(primary)
 	switch {
 	case len(settled) > 0:
-		return settled, areAll
-	case len(joined) > 0 || !isChanging:
-		return joined, areAll
+		counting = settled
+	case len(unsettled) > 0 || !view.isChanging:
+		counting = unsettled
+	default:
+		counting = leaving
+	}
+	required = min(g.settings.SyncReplicas, len(counting))
+	if len(settled) == 0 && view.isChanging {
+		counting = slices.DeleteFunc(counting, func(id bbrtype.MemberName) bool { return g.mayBeLeftOut(id, view) })
 	}
-	return leaving, areAll
+	return counting, required, areAll
+}
+
+// changeView is what an instance knows at a moment about the changes of a group's primary.
+type changeView struct {
+	// isChanging is set if a change of primary is known to have begun.
+	isChanging bool
+	// seen are the members that have shown that they run, see Deps.SeenMembers. With
+	// allSeen set, all have.
+	seen    map[bbrtype.MemberName]bool
+	allSeen bool
 }
 
-// isChanging reports whether a change of the group's primary is known to have begun. The
-// caller does not hold mu.
-func (g *Group) isChanging() bool { return g.IsChanging != nil && g.IsChanging(g.name) }
+// hasSeen reports whether a member has shown that it runs.
+func (v changeView) hasSeen(id bbrtype.MemberName) bool { return v.allSeen || v.seen[id] }
+
+// viewChange returns what is known now. The caller does not hold mu.
+func (g *Group) viewChange() changeView {
+	view := changeView{isChanging: g.IsChanging != nil && g.IsChanging(g.name), allSeen: g.SeenMembers == nil}
+	if !view.allSeen {
+		view.seen = g.SeenMembers()
+	}
+	return view
+}
 
 // orderedMembers returns the members whose promotion may still take effect. The caller does
 // not hold mu.
@@ -170,14 +200,33 @@
 	return listedAt.Sub(g.firstListing) > firstListingTime && g.Clock.Now().Sub(listedAt) < settlingTime
 }
 
-// hasJoiningReplica reports whether a replica has just joined. The caller holds mu.
-func (g *Group) hasJoiningReplica(primary bbrtype.MemberName) bool {
+// isUnsettled reports whether a member has just joined or has not shown that it runs. The
+// caller holds mu.
+func (g *Group) isUnsettled(id bbrtype.MemberName, view changeView) bool {
+	return g.hasJustJoined(id) || !view.hasSeen(id)
+}
+
+// mayBeLeftOut reports whether a change of primary may leave out a member: it has not shown
+// that it runs for as long as a change waits for that. The caller holds mu.
+func (g *Group) mayBeLeftOut(id bbrtype.MemberName, view changeView) bool {
+	return !view.hasSeen(id) && g.Clock.Now().Sub(g.firstListed[id]) >= settlingTime
+}
+
+// hasUnsettledReplica reports whether a replica has just joined, has not shown that it runs,
+// or may run although its entry has expired. The caller holds mu.
+func (g *Group) hasUnsettledReplica(primary bbrtype.MemberName, view changeView) bool {
 	for id := range g.members {
-		if id != primary && g.hasJustJoined(id) {
+		if id != primary && g.isUnsettled(id, view) {
 			return true
 		}
 	}
-	return false
+	return g.hasExpiredReplica(primary)
+}
+
+// hasExpiredReplica reports whether a replica may run although its entry has expired. The
+// caller holds mu.
+func (g *Group) hasExpiredReplica(primary bbrtype.MemberName) bool {
+	return slices.ContainsFunc(g.expired, func(m bbrdirectory.Member) bool { return m.ID != primary })
 }
 
 // hasLeavingReplica reports whether a replica leaves or has just left. The caller holds mu.
--- a/bbrnode/node.go
+++ b/bbrnode/node.go
@@ -291,7 +291,7 @@
 			}
 			g = bbrlink.NewGroup(name, bbrlink.Deps{
 				Dial: n.platform.DialMember, Clock: n.clock, Log: n.log, Tasks: n.background,
-				DataCentre: n.settings.DataCentre, DrainTimeout: n.settings.DrainTimeout, Share: n.share, MayHaveConfirmed: n.mayHaveConfirmed, IsChanging: n.isChanging, OrderedMembers: n.orderedMembers,
+				DataCentre: n.settings.DataCentre, DrainTimeout: n.settings.DrainTimeout, Share: n.share, MayHaveConfirmed: n.mayHaveConfirmed, SeenMembers: n.seenMembers, IsChanging: n.isChanging, OrderedMembers: n.orderedMembers,
 				ProveFromStore: n.proveFromStore, FetchPeerProofs: n.fetchPeerProofs,
 			})
 			n.groups[name] = g
--- a/bbrnode/seen.go
+++ b/bbrnode/seen.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/bluebellroute/bluebellroute/bbrlink"
@@ -29,9 +30,11 @@
 
 // seenMembers are the members of which the store records that they have replied to an
 // instance. A member that is listed but was never seen may have no process behind it, and
-// is not waited for in a change of primary (see bbrsuccession.MayHaveConfirmed). It is
-// guarded by Node.mu. The zero value knows of none.
+// is not waited for in a change of primary (see bbrsuccession.MayHaveConfirmed). The
+// confirmation of such a member alone does not show that a commit lasts (see
+// bbrlink.Deps.SeenMembers). It is guarded by Node.mu. The zero value knows of none.
 type seenMembers struct {
+	// recorded is replaced as a whole: groups read it without Node.mu.
 	recorded map[bbrtype.MemberName]bool
 	// readSince is since when the record could be read, 0 if it cannot. readAt is when it
 	// was last read.
@@ -135,9 +138,11 @@
 	n.recordEra(version.Era)
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	recorded := maps.Clone(n.seen.recorded)
 	for key := range write.Set {
-		n.seen.recorded[bbrtype.MemberName(key.Key)] = true
+		recorded[bbrtype.MemberName(key.Key)] = true
 	}
+	n.seen.recorded = recorded
 	n.log.WithField("members", len(write.Set)).Info("members recorded that have replied")
 }
 
@@ -160,13 +165,25 @@
 		n.seen.readSince = n.clock.Now()
 	}
 	n.seen.era, n.seen.readAt = version.Era, n.clock.Now()
-	n.seen.recorded = make(map[bbrtype.MemberName]bool, len(rows))
+	recorded := make(map[bbrtype.MemberName]bool, len(rows))
 	for _, r := range rows {
-		n.seen.recorded[bbrtype.MemberName(r.Key)] = !r.Deleted
+		recorded[bbrtype.MemberName(r.Key)] = !r.Deleted
 	}
+	n.seen.recorded = recorded
 	return true
 }
 
+// seenMembers returns the members that are recorded in the store's era, nil if the records
+// of that era have not been read.
+func (n *Node) seenMembers() map[bbrtype.MemberName]bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.seen.era != n.storeEra.Era {
+		return nil
+	}
+	return n.seen.recorded
+}
+
 // mayHaveConfirmed reports whether a member of a group that does not respond may have
 // confirmed commits.
 func (n *Node) mayHaveConfirmed(g *bbrlink.Group, id bbrtype.MemberName) bool {
