Count no replica that was first listed after the claim of a change where all others leave

Cause: one that joined after the claim counted like one that joined before it, though the change may not have paused it.

Evidence: the two new cases of TestCommitThatAReplicaConfirmedWhichAChangeLeavesOut on the code before (the field that the test sets was added): unsettled_test.go:126: true != false .../the_settled_one_leaves,_one_joined_before_the_claim_and_lacks_it .../the_settled_one_leaves,_one_joined_after_the_claim_and_has_it They pass with the change.

Why it works: the group remembers when it last knew of no change. While a change is known to have begun, a replica that has just joined counts only if it was listed by then; if none is left that counts, the commit is in doubt. It is judged by the last reply or check before the claim, so that a replica listed between that and the claim does not count either. Once no change is known to run, all that joined count again, so that such a group goes on being served.

--- a/bbrlink/group.go
+++ b/bbrlink/group.go
@@ -97,6 +97,9 @@
 	firstListed map[bbrtype.MemberName]bbrtype.Mono
 	// firstListing is when this instance first saw any member listed.
 	firstListing bbrtype.Mono
+	// unchangedAt is when this instance last knew of no change of primary. A member that
+	// is first listed later may be unknown to a change that has begun.
+	unchangedAt bbrtype.Mono
 	// replied holds the members that have replied to this instance since they are listed.
 	replied map[bbrtype.MemberName]bool
 	// expired are members whose directory entries expired without a drain. They may
--- a/bbrlink/lasting.go
+++ b/bbrlink/lasting.go
@@ -84,6 +84,7 @@
 	view, ordered := g.viewChange(), g.orderedMembers()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.recordChangeView(view)
 	counting, required, areAll := g.countingReplicas(w.primary, view)
 	ordered = g.runningOf(ordered, w.primary)
 	lacking = g.lackingOf(counting, w.commit)
@@ -164,6 +165,7 @@
 
 // changeView is what an instance knows at a moment about the changes of a group's primary.
 type changeView struct {
+	at bbrtype.Mono
 	// isChanging is set if a change of primary is known to have begun.
 	isChanging bool
 	// seen are the members that have shown that they run, see Deps.SeenMembers. With
@@ -177,13 +179,20 @@
 
 // viewChange returns what is known now. The caller does not hold mu.
 func (g *Group) viewChange() changeView {
-	view := changeView{isChanging: g.IsChanging != nil && g.IsChanging(g.name), allSeen: g.SeenMembers == nil}
+	view := changeView{at: g.Clock.Now(), isChanging: g.IsChanging != nil && g.IsChanging(g.name), allSeen: g.SeenMembers == nil}
 	if !view.allSeen {
 		view.seen = g.SeenMembers()
 	}
 	return view
 }
 
+// recordChangeView records when no change of primary was known last. The caller holds mu.
+func (g *Group) recordChangeView(view changeView) {
+	if !view.isChanging {
+		g.unchangedAt = max(g.unchangedAt, view.at)
+	}
+}
+
 // orderedMembers returns the members whose promotion may still take effect. The caller does
 // not hold mu.
 func (g *Group) orderedMembers() []bbrtype.MemberName {
@@ -206,10 +215,15 @@
 	return g.hasJustJoined(id) || !view.hasSeen(id)
 }
 
-// mayBeLeftOut reports whether a change of primary may leave out a member: it has not shown
-// that it runs for as long as a change waits for that. The caller holds mu.
+// mayBeLeftOut reports whether a change of primary that has begun may leave out a member: it
+// was listed after the claim, or it has not shown that it runs for as long as a change waits
+// for that. The caller holds mu.
 func (g *Group) mayBeLeftOut(id bbrtype.MemberName, view changeView) bool {
-	return !view.hasSeen(id) && g.Clock.Now().Sub(g.firstListed[id]) >= settlingTime
+	listedAt := g.firstListed[id]
+	if g.hasJustJoined(id) && listedAt > g.unchangedAt {
+		return true
+	}
+	return !view.hasSeen(id) && g.Clock.Now().Sub(listedAt) >= settlingTime
 }
 
 // hasUnsettledReplica reports whether a replica has just joined, has not shown that it runs,
--- a/bbrlink/reply.go
+++ b/bbrlink/reply.go
@@ -32,6 +32,7 @@
 	view := g.viewChange()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.recordChangeView(view)
 	now := g.Clock.Now()
 	id := c.member.ID
 	g.health[id] = memberHealth{lastReply: now}
--- a/bbrlink/unsettled_test.go
+++ b/bbrlink/unsettled_test.go
@@ -16,11 +16,12 @@
 
 // TestCommitThatAReplicaConfirmedWhichAChangeLeavesOut guards against the loss of commits
 // that only a replica has confirmed which has replied to no instance, or whose entry has
-// expired.
+// expired, or which joined after the claim of a change of primary.
 func TestCommitThatAReplicaConfirmedWhichAChangeLeavesOut(t *testing.T) {
 	commit := bbrmessage.LogPosition{Term: 2, Index: 475}
 	lacks, has := bbrmessage.LogPosition{Term: 2, Index: 474}, bbrmessage.LogPosition{Term: 2, Index: 480}
 	const longAgo, beforeClaim, afterClaim = time.Minute, 4 * time.Second, 2 * time.Second
+	const claimed = 3 * time.Second
 	tests := map[string]struct {
 		// listed is how long ago each replica was first listed.
 		listed   map[bbrtype.MemberName]time.Duration
@@ -77,6 +78,14 @@
 			listed: map[bbrtype.MemberName]time.Duration{"r": longAgo, "x": beforeClaim}, draining: map[bbrtype.MemberName]bool{"r": true}, isChanging: true,
 			received: map[bbrtype.MemberName]bbrmessage.LogPosition{"r": lacks, "x": has}, want: true,
 		},
+		"the settled one leaves, one joined after the claim and has it": {
+			listed: map[bbrtype.MemberName]time.Duration{"r": longAgo, "x": afterClaim}, draining: map[bbrtype.MemberName]bool{"r": true}, isChanging: true,
+			received: map[bbrtype.MemberName]bbrmessage.LogPosition{"r": lacks, "x": has},
+		},
+		"the settled one leaves, one joined before the claim and lacks it": {
+			listed: map[bbrtype.MemberName]time.Duration{"r": longAgo, "x": beforeClaim, "y": afterClaim}, draining: map[bbrtype.MemberName]bool{"r": true}, isChanging: true,
+			received: map[bbrtype.MemberName]bbrmessage.LogPosition{"x": lacks, "y": has},
+		},
 		"the settled one leaves, one joined, and no change runs": {
 			listed: map[bbrtype.MemberName]time.Duration{"r": longAgo, "x": afterClaim}, draining: map[bbrtype.MemberName]bool{"r": true},
 			received: map[bbrtype.MemberName]bbrmessage.LogPosition{"x": has}, want: true,
@@ -105,7 +114,7 @@
 				expired = append(expired, bbrdirectory.Member{ID: tt.expired, Group: "g"})
 			}
 			g.SetMembers(members, expired, bbrcatalog.GroupSettings{Group: "g", MaxConnections: 23, SyncReplicas: 1})
-			g.firstListing = g.Clock.Now().Add(-time.Hour)
+			g.firstListing, g.unchangedAt = g.Clock.Now().Add(-time.Hour), g.Clock.Now().Add(-claimed)
 			for id, ago := range tt.listed {
 				g.firstListed[id] = g.Clock.Now().Add(-ago)
 			}
