Take a replica whose entry is gone for unsettled from the first moment

What callers saw: acknowledged commits that are missing after a promotion, if the entry of the only replica that confirmed them has just disappeared while it runs, as when it is cut off from the store but not from the primary, and the change of primary is made by an instance that has started since: that one does not know the replica.

Cause: instances go on using a member for 2.5 s after its entry disappeared, and took its confirmation for good meanwhile.

Evidence: TestReplicaThatOnlyThePrimaryReaches without the change in bbrlink/lasting.go, 1 run: --- FAIL: TestReplicaThatOnlyThePrimaryReaches/its_entry_is_gone (11.06s) unproven_test.go:72: 73 of 73 acknowledged writes are lost by a promotion of i-s1-1 and the case "an entry has disappeared, and the other one lacks it" of bbrlink. Both pass with the change (1 run). The stand-in can drop the entry of a member that goes on running.

Why it works: such a replica is not settled, so that a settled one has to have each commit, then for 12 s more as the entry counts as expired. If all entries disappear at once, as in an outage of the store, no settled replica is left, and each counts by what it has reported.

--- a/bbrdirectory/directory.go
+++ b/bbrdirectory/directory.go
@@ -52,7 +52,9 @@
 	// Slots is the maximum number of statements that the member executes concurrently.
 	Slots    int
 	Draining bool
-	Role     bbrmessage.Role
+	// EntryMissing is set if the entry has disappeared, while the member stays in use.
+	EntryMissing bool
+	Role         bbrmessage.Role
 	// StartedAtMs is the start time of the member's process, in Unix milliseconds, 0 if
 	// unknown.
 	StartedAtMs int64
@@ -205,9 +207,12 @@
 func (d *Directory) Members(g bbrtype.GroupName) []Member {
 	var out []Member
 	for _, e := range d.entries {
-		if e.member.Group == g {
-			out = append(out, e.member)
+		if e.member.Group != g {
+			continue
 		}
+		m := e.member
+		m.EntryMissing = e.missingSince != 0
+		out = append(out, m)
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
 	return out
--- a/bbrdirectory/directory_test.go
+++ b/bbrdirectory/directory_test.go
@@ -14,8 +14,8 @@
 	m := Member{ID: "m1", Group: "g", Address: "a"}
 	tests := map[string]struct {
 		run func(d *Directory)
-		// inUse is the number of members in use.
-		inUse int
+		// inUse is the number of members in use, missing that of those without an entry.
+		inUse, missing int
 		// expired is the number of removed members that may still be running.
 		expired int
 	}{
@@ -23,7 +23,7 @@
 		"missing within the grace period": {run: func(d *Directory) {
 			d.MarkMissing("m1", start)
 			d.Expire(start.Add(missingGrace))
-		}, inUse: 1},
+		}, inUse: 1, missing: 1},
 		"missing beyond the grace period": {run: func(d *Directory) {
 			d.MarkMissing("m1", start)
 			d.Expire(start.Add(missingGrace + 1))
@@ -47,7 +47,7 @@
 			d.MarkMissing("m1", start)
 			d.RecordReadFailure(start.Add(missingGrace))
 			d.Expire(start.Add(missingGrace + 1))
-		}, inUse: 1},
+		}, inUse: 1, missing: 1},
 		"registered again within the grace period": {run: func(d *Directory) {
 			d.MarkMissing("m1", start)
 			d.Put(m, start)
@@ -65,6 +65,13 @@
 			d.Put(m, start)
 			tt.run(&d)
 			is.Equal(len(d.Members("g")), tt.inUse)
+			missing := 0
+			for _, m := range d.Members("g") {
+				if m.EntryMissing {
+					missing++
+				}
+			}
+			is.Equal(missing, tt.missing)
 			is.Equal(len(d.Expired("g")), tt.expired)
 		})
 	}
--- a/bbrlink/lasting.go
+++ b/bbrlink/lasting.go
@@ -20,7 +20,7 @@
 //
 // A change of primary leaves out a replica that has replied to no instance, though the
 // primary may reach it. Such a replica is not settled, however long it is listed. Neither is
-// one that may run although its entry has expired.
+// one that may run although its entry is gone.
 //
 // A promotion may take effect seconds after it was ordered, also one that was given up. The
 // member leads with what it has received by then. While that may happen, a commit is
@@ -209,10 +209,11 @@
 	return listedAt.Sub(g.firstListing) > firstListingTime && g.Clock.Now().Sub(listedAt) < settlingTime
 }
 
-// isUnsettled reports whether a member has just joined or has not shown that it runs. The
-// caller holds mu.
+// isUnsettled reports whether a member has just joined, has not shown that it runs, or is
+// listed no more by the store, so that instances that start now do not know it. The caller
+// holds mu.
 func (g *Group) isUnsettled(id bbrtype.MemberName, view changeView) bool {
-	return g.hasJustJoined(id) || !view.hasSeen(id)
+	return g.hasJustJoined(id) || !view.hasSeen(id) || g.members[id].EntryMissing
 }
 
 // mayBeLeftOut reports whether a change of primary that has begun may leave out a member: it
@@ -226,8 +227,8 @@
 	return !view.hasSeen(id) && g.Clock.Now().Sub(listedAt) >= settlingTime
 }
 
-// hasUnsettledReplica reports whether a replica has just joined, has not shown that it runs,
-// or may run although its entry has expired. The caller holds mu.
+// hasUnsettledReplica reports whether a replica is unsettled, or may run although its entry
+// has expired. The caller holds mu.
 func (g *Group) hasUnsettledReplica(primary bbrtype.MemberName, view changeView) bool {
 	for id := range g.members {
 		if id != primary && g.isUnsettled(id, view) {
--- a/bbrlink/unsettled_test.go
+++ b/bbrlink/unsettled_test.go
@@ -15,8 +15,8 @@
 )
 
 // TestCommitThatAReplicaConfirmedWhichAChangeLeavesOut guards against the loss of commits
-// that only a replica has confirmed which has replied to no instance, or whose entry has
-// expired, or which joined after the claim of a change of primary.
+// that only a replica has confirmed which has replied to no instance, or whose entry is
+// gone, or which joined after the claim of a change of primary.
 func TestCommitThatAReplicaConfirmedWhichAChangeLeavesOut(t *testing.T) {
 	commit := bbrmessage.LogPosition{Term: 2, Index: 475}
 	lacks, has := bbrmessage.LogPosition{Term: 2, Index: 474}, bbrmessage.LogPosition{Term: 2, Index: 480}
@@ -27,8 +27,9 @@
 		listed   map[bbrtype.MemberName]time.Duration
 		unseen   map[bbrtype.MemberName]bool
 		draining map[bbrtype.MemberName]bool
-		// expired is a member whose entry has expired.
-		expired bbrtype.MemberName
+		// missing is a member whose entry has disappeared, and expired one that was
+		// dropped for that.
+		missing, expired bbrtype.MemberName
 		// isChanging is set if a change of primary was claimed.
 		isChanging bool
 		received   map[bbrtype.MemberName]bbrmessage.LogPosition
@@ -63,6 +64,18 @@
 			listed: map[bbrtype.MemberName]time.Duration{"x": beforeClaim}, unseen: map[bbrtype.MemberName]bool{"x": true}, isChanging: true,
 			received: map[bbrtype.MemberName]bbrmessage.LogPosition{"x": has}, want: true,
 		},
+		"an entry has disappeared, and the other one lacks it": {
+			listed: map[bbrtype.MemberName]time.Duration{"r": longAgo, "x": longAgo}, missing: "x",
+			received: map[bbrtype.MemberName]bbrmessage.LogPosition{"r": lacks, "x": has},
+		},
+		"an entry has disappeared, and the other one has it": {
+			listed: map[bbrtype.MemberName]time.Duration{"r": longAgo, "x": longAgo}, missing: "x",
+			received: map[bbrtype.MemberName]bbrmessage.LogPosition{"r": has}, want: true,
+		},
+		"all entries have disappeared, and one has it": {
+			listed: map[bbrtype.MemberName]time.Duration{"x": longAgo}, missing: "x",
+			received: map[bbrtype.MemberName]bbrmessage.LogPosition{"x": has}, want: true,
+		},
 		"an entry has expired, and the other one lacks it": {
 			listed: map[bbrtype.MemberName]time.Duration{"r": longAgo}, expired: "x",
 			received: map[bbrtype.MemberName]bbrmessage.LogPosition{"r": lacks},
@@ -107,7 +120,7 @@
 			members := []bbrdirectory.Member{{ID: "p", Group: "g"}}
 			for id := range tt.listed {
 				seen[id] = !tt.unseen[id]
-				members = append(members, bbrdirectory.Member{ID: id, Group: "g", Draining: tt.draining[id]})
+				members = append(members, bbrdirectory.Member{ID: id, Group: "g", Draining: tt.draining[id], EntryMissing: id == tt.missing})
 			}
 			var expired []bbrdirectory.Member
 			if tt.expired != "" {
