--- a/bbrlink/group.go
+++ b/bbrlink/group.go
@@ -68,6 +68,10 @@
 	// MayHaveConfirmed reports whether a member may have confirmed commits, see
 	// FirstListed. With nil every member may.
 	MayHaveConfirmed func(g *Group, id bbrtype.MemberName) bool
+	// SeenMembers returns the members of which the store records that they have replied to
+	// an instance. No change of primary leaves them out. With nil none leaves out any
+	// member. The result is not changed later.
+	SeenMembers func() map[bbrtype.MemberName]bool
 	// IsChanging reports whether a change of a group's primary is known to have begun. With
 	// nil none is.
 	IsChanging func(group bbrtype.GroupName) bool
@@ -89,10 +93,13 @@
 	members   map[bbrtype.MemberName]bbrdirectory.Member
 	// drainingSince is when this instance first saw each draining member drain.
 	drainingSince map[bbrtype.MemberName]bbrtype.Mono
-	// firstListed is when this instance first saw each member listed.
+	// firstListed is when this instance first saw the process of each member listed.
 	firstListed map[bbrtype.MemberName]bbrtype.Mono
 	// firstListing is when this instance first saw any member listed.
 	firstListing bbrtype.Mono
+	// unchangedAt is when this instance last knew of no change of primary. A member that
+	// is first listed later may be unknown to a change that has begun.
+	unchangedAt bbrtype.Mono
 	// replied holds the members that have replied to this instance since they are listed.
 	replied map[bbrtype.MemberName]bool
 	// expired are members whose directory entries expired without a drain. They may
@@ -191,6 +198,8 @@
 		old, known := g.members[m.ID]
 		g.members[m.ID] = m
 		if known && old.StartedAtMs != m.StartedAtMs {
+			// The new process holds nothing of before, and no order to pause it.
+			g.firstListed[m.ID] = g.Clock.Now()
 			delete(g.received, m.ID)
 			g.closeIdleTo(m.ID)
 		}
