Resume replication at replicas that have stayed paused after a change of primary

What callers saw: nothing at once. A replica whose RESUME got lost stays paused, receives nothing and confirms no commit until another change of primary. It then is the member that lacks seconds of commits. While the group's record is not confirmed in the store's era it also keeps the members from proving the primary.

Cause: a change of primary sends RESUME once, with a time limit of 400 ms, and nobody looks after it; a PAUSE that arrives after the change has ended has the same effect.

Evidence: TestLostOrderToResume without the hook in maintainGroups:

unpause_test.go:83: not in time: the replica receives again --- FAIL: TestLostOrderToResume (68.50s) --- FAIL: TestLostOrderToResume/without_writes (34.25s) --- FAIL: TestLostOrderToResume/writes_go_on (34.25s)

Why the fix works: each instance notes that a change has ended (the record names a primary under a new fencing token); the first-ranked one queries the replicas 1 s and 15 s later, and while one is paused or does not respond again each 1.5 s, more rarely later (15 s at most). A replica seen paused under the same term for at least 1 s is told to resume, at most 500 ms after a read of the store that shows the same version of the record, named, with the primary in use. The instance begins no change of its own meanwhile. A record that is not confirmed in the era counts once all claims and promotions that a restore may have lost have expired (10 s): otherwise a paused replica keeps the record unconfirmed, and the record the replica paused.

Cost: two status queries of each replica per change of primary and group, by one instance, and as many when the first-ranked instance starts anew; none where no primary was changed.

What remains: a claim may be written right after the read, and the RESUME may arrive late; the record's orders and the second look at the members then guard the commits, but for the cases that fail in lateorder_test.go. A replica that the first-ranked instance can't reach stays paused until it can. A record that stays claimed (its holder gave up with a promotion pending) is left to the next change. A PAUSE that arrives later than 15 s after its change is not found.

--- a/bbrnode/maintain.go
+++ b/bbrnode/maintain.go
@@ -39,6 +39,7 @@
 // members have replied.
 func (n *Node) maintainGroups(ctx context.Context) {
 	schedules := map[bbrtype.GroupName]*inspectionSchedule{}
+	pauses := groupPauseChecks{}
 	confirm := &confirmSchedule{}
 	n.awaitFleet(ctx)
 	for ctx.Err() == nil {
@@ -55,6 +56,7 @@
 				schedules[g.Name()] = s
 			}
 			n.maintainGroup(ctx, g, s)
+			n.checkPaused(ctx, g, pauses.of(g.Name()))
 		}
 		n.confirmRecords(ctx, confirm)
 		n.recordSeen(ctx)
