Pause replicas again while a promotion is awaited, and resume the ordered one first

A paused replica that restarts, or that a late order to resume reaches, confirms commits of the old primary while a promotion is awaited, for as long as that takes (seconds, if the request gets no reply). Instances that know of the promotion do not acknowledge them; one that has lost contact with the store, or learns of changes late, does. The replicas are now ordered to pause every 200 ms until the member leads. The check for replicas that stayed paused resumes the ordered one first, as a change does (TestOrderedReplicaIsResumedFirst).

--- a/bbrnode/change.go
+++ b/bbrnode/change.go
@@ -26,6 +26,9 @@
 	// oldPrimaryExtraWait is how much longer callMembers waits for the old primary,
 	// which may be down, after all other members have replied.
 	oldPrimaryExtraWait = 40 * time.Millisecond
+	// pauseAgainInterval is the interval at which replicas are ordered to pause replication
+	// again while a promotion is awaited. One that was restarted receives until then.
+	pauseAgainInterval = 200 * time.Millisecond
 	// promotionRetryDelay is how long after the platform accepted a promotion
 	// request the request is sent again, if the member has not become the primary.
 	promotionRetryDelay = 2500 * time.Millisecond
@@ -368,6 +371,7 @@
 	request := bbrsuccession.PromotionRequest{Group: c.group.Name(), Member: choice.Member, FencingToken: c.fence}
 	var requestedAt bbrtype.Mono
 	isPending := false
+	defer c.keepPaused(ctx, choice.Member)()
 	for c.keepClaim(ctx) {
 		if now := c.node.clock.Now(); requestedAt == 0 || now.Sub(requestedAt) > promotionRetryDelay {
 			err := c.node.platform.Promoter.Promote(ctx, request)
@@ -401,6 +405,38 @@
 	return errors.New("the claim ran out before the promotion was ordered")
 }
 
+// keepPaused orders the replicas that responded at the barrier to pause replication again at
+// intervals, but for the one that is promoted, until the function that it returns is called.
+// That one waits for the replies, so that no order arrives after those to resume.
+func (c *primaryChange) keepPaused(ctx context.Context, promoted bbrtype.MemberName) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	var pauses errgroup.Group
+	for _, m := range c.barrier {
+		if m.ID == promoted || m.ID == c.oldPrimary.Member || !m.Responded {
+			continue
+		}
+		pauses.Go(func() error {
+			for bbrtype.Sleep(ctx, pauseAgainInterval); ctx.Err() == nil; bbrtype.Sleep(ctx, pauseAgainInterval) {
+				c.pauseOnceMore(ctx, m)
+			}
+			return nil
+		})
+	}
+	return func() {
+		cancel()
+		_ = pauses.Wait()
+	}
+}
+
+// pauseOnceMore orders a replica to pause replication again, and logs if it has received
+// commits since the barrier.
+func (c *primaryChange) pauseOnceMore(ctx context.Context, m bbrsuccession.Candidate) {
+	status, err := c.group.PauseReplication(ctx, m.ID, c.pauseTerm)
+	if err == nil && m.Status.Received.IsBefore(status.Received) {
+		c.log.WithFields(logrus.Fields{"member": m.ID, "received": status.Received, "atBarrier": m.Status.Received}).Warn("a paused replica has received commits, and was ordered to pause again")
+	}
+}
+
 // completeChange puts the new primary into use and writes it to the group's record,
 // with retries until the write succeeds, another change has begun, the store was restored
 // or ctx ends. After a successful write it resumes replication.
--- a/bbrnode/unpause.go
+++ b/bbrnode/unpause.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -153,13 +154,30 @@
 	}
 	n.runAsync(func() {
 		replicas := n.replicaStatuses(ctx, g)
-		stayedPaused := c.end(known.Record.FencingToken, replicas, n.clock.Now())
+		now := n.clock.Now()
+		stayedPaused := resumableReplicas(c.end(known.Record.FencingToken, replicas, now), replicas, known.OrderedMembers(now))
 		if len(stayedPaused) > 0 {
 			n.resumeStayedPaused(ctx, g, known, stayedPaused)
 		}
 	})
 }
 
+// resumableReplicas returns those of the replicas that have stayed paused at which replication
+// may be resumed. While the promotion of a replica may still take effect, the others wait
+// until that one receives.
+func resumableReplicas(stayedPaused []bbrtype.MemberName, replicas []bbrsuccession.Candidate, ordered []bbrtype.MemberName) []bbrtype.MemberName {
+	orderedReceive := true
+	for _, m := range replicas {
+		if slices.Contains(ordered, m.ID) && (!m.Responded || m.Status.PausedTerm != 0) {
+			orderedReceive = false
+		}
+	}
+	if orderedReceive {
+		return stayedPaused
+	}
+	return slices.DeleteFunc(stayedPaused, func(id bbrtype.MemberName) bool { return !slices.Contains(ordered, id) })
+}
+
 // showsNoChange reports whether a group's record shows that a change of primary has ended,
 // that the primary in use is the one that it has named, and that no other change has begun.
 // A record that is not confirmed in the store's era shows it once all claims and promotions
--- a/bbrnode/unpause_test.go
+++ b/bbrnode/unpause_test.go
@@ -228,3 +228,33 @@
 		})
 	}
 }
+
+// TestOrderedReplicaIsResumedFirst guards against the loss of commits that other replicas
+// confirm before the one whose promotion may still act receives them.
+func TestOrderedReplicaIsResumedFirst(t *testing.T) {
+	paused := bbrsuccession.Candidate{Responded: true, Status: bbrmessage.MemberStatus{Role: bbrmessage.RoleReplica, PausedTerm: 2}}
+	receives := bbrsuccession.Candidate{Responded: true, Status: bbrmessage.MemberStatus{Role: bbrmessage.RoleReplica}}
+	tests := map[string]struct {
+		r1, r2  bbrsuccession.Candidate
+		stayed  []bbrtype.MemberName
+		ordered []bbrtype.MemberName
+		want    []bbrtype.MemberName
+	}{
+		"nothing was ordered":               {r1: paused, r2: paused, stayed: []bbrtype.MemberName{"r1", "r2"}, want: []bbrtype.MemberName{"r1", "r2"}},
+		"the ordered one is paused":         {r1: paused, r2: paused, stayed: []bbrtype.MemberName{"r1", "r2"}, ordered: []bbrtype.MemberName{"r1"}, want: []bbrtype.MemberName{"r1"}},
+		"the ordered one is silent":         {r2: paused, stayed: []bbrtype.MemberName{"r2"}, ordered: []bbrtype.MemberName{"r1"}},
+		"the ordered one receives":          {r1: receives, r2: paused, stayed: []bbrtype.MemberName{"r2"}, ordered: []bbrtype.MemberName{"r1"}, want: []bbrtype.MemberName{"r2"}},
+		"the ordered one is listed no more": {r1: receives, r2: paused, stayed: []bbrtype.MemberName{"r2"}, ordered: []bbrtype.MemberName{"gone"}, want: []bbrtype.MemberName{"r2"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			tt.r1.ID, tt.r2.ID = "r1", "r2"
+			got := resumableReplicas(tt.stayed, []bbrsuccession.Candidate{tt.r1, tt.r2}, tt.ordered)
+			is.Equal(len(got), len(tt.want))
+			for _, id := range tt.want {
+				is.True(slices.Contains(got, id))
+			}
+		})
+	}
+}
