Check a commit that waits for a replica again as soon as the replica reports

What callers saw: nothing yet. Since replicas that have not shown that they run are not settled, each commit of a group with an entry without a process waits for a position.

Cause: the wait slept for the whole check interval, 10 ms, though the status is there sooner.

Why it works: the first wait ends with the next report of a position. Later waits take the interval as before, so that a replica that lags is not queried without a pause.

--- a/bbrlink/group.go
+++ b/bbrlink/group.go
@@ -134,6 +134,8 @@
 	// holds the replicas whose position is being queried for AwaitLasting.
 	received        map[bbrtype.MemberName]bbrmessage.LogPosition
 	positionQueries map[bbrtype.MemberName]bool
+	// reported is closed when a replica reports its position, nil if nobody waits for that.
+	reported chan struct{}
 	// replicaLeftAt is when this instance last saw that a leaving replica was gone.
 	replicaLeftAt bbrtype.Mono
 	demotedSince  bbrtype.Mono
--- a/bbrlink/lasting.go
+++ b/bbrlink/lasting.go
@@ -28,7 +28,8 @@
 
 const (
 	// lastingCheckInterval is the interval at which a commit that waits for a settled
-	// replica is checked again.
+	// replica is checked again. Only the first check is repeated as soon as a replica
+	// reports its position, so that replicas that lag are not queried without a pause.
 	lastingCheckInterval = 10 * time.Millisecond
 	// leftReplicaTTL is how long a leaving replica counts after its entry is gone, since
 	// replies to commits that it confirmed may still be on their way.
@@ -50,19 +51,44 @@
 // another member may take effect.
 func (g *Group) AwaitLasting(ctx context.Context, primary bbrtype.MemberName, commit bbrmessage.LogPosition, sentAt bbrtype.Mono) bool {
 	w := lastingWait{primary: primary, commit: commit, sentAt: sentAt}
-	for {
+	for isFirst := true; ; isFirst = false {
 		switch lacking := g.checkLasting(&w); {
 		case w.lasts:
 			return true
 		case w.isReplaced || ctx.Err() != nil:
 			return false
 		default:
+			var reported <-chan struct{}
+			if isFirst {
+				reported = g.nextReport()
+			}
 			g.queryPositions(ctx, lacking)
-			bbrtype.Sleep(ctx, lastingCheckInterval)
+			awaitReport(ctx, reported)
 		}
 	}
 }
 
+// nextReport returns a channel that is closed when a replica reports its position next.
+func (g *Group) nextReport() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.reported == nil {
+		g.reported = make(chan struct{})
+	}
+	return g.reported
+}
+
+// awaitReport waits until reported is closed, for lastingCheckInterval at most.
+func awaitReport(ctx context.Context, reported <-chan struct{}) {
+	timer := time.NewTimer(lastingCheckInterval)
+	defer timer.Stop()
+	select {
+	case <-reported:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // lastingWait is the wait for a commit to last.
 type lastingWait struct {
 	primary bbrtype.MemberName
@@ -291,5 +317,9 @@
 func (g *Group) recordReceived(m bbrdirectory.Member, position bbrmessage.LogPosition) {
 	if current, listed := g.members[m.ID]; listed && current.StartedAtMs == m.StartedAtMs {
 		g.received[m.ID] = position
+		if g.reported != nil {
+			close(g.reported)
+			g.reported = nil
+		}
 	}
 }
--- a/bbrlink/lasting_test.go
+++ b/bbrlink/lasting_test.go
@@ -73,3 +73,19 @@
 		})
 	}
 }
+
+// TestReportEndsTheFirstWait guards against commits that wait for the check interval although
+// a replica has reported its position, as each would while an entry without a process is
+// listed.
+func TestReportEndsTheFirstWait(t *testing.T) {
+	is := is.New(t)
+	g := newTestGroup(t, 23, 1)
+	reported := g.nextReport()
+	g.mu.Lock()
+	g.recordReceived(g.members["r"], bbrmessage.LogPosition{Term: 1, Index: 7})
+	g.mu.Unlock()
+	_, isOpen := <-reported
+	is.True(!isOpen)
+	awaitReport(context.Background(), reported) // returns at once
+	is.True(g.nextReport() != reported)
+}
