Soak: orders of promotions and controls that arrive late, replicas that restart while paused

The soak's cuts swallow what is sent while they last. On the users' machines packets are sent again, so that an order arrives seconds after its sender gave it up.

New kinds of the platform's dialect: ordersLate and controlsLate hold what instances send to the call for promotions or to a member, and deliver it when the fault ends, also if the sender has closed the connection since, but not if it has reset it (relay); promotionSlow; memberRestart, by which a paused replica forgets its pause; replicationCut, by which a replica receives nothing from its primary. Plans of known seeds stay (TestPlansOfKnownSeedsStay).

The judge compares each promotion with what was acknowledged, since a later promotion may bring back a write that an earlier one lost.

--- a/bbrsoak/history.go
+++ b/bbrsoak/history.go
@@ -134,6 +134,18 @@
 	}
 }
 
+// AddPromotion checks that a promoted member lacked nothing that was acknowledged. lacks
+// are the items that it lacked of those that any member had.
+func (h *History) AddPromotion(member string, lacks []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, item := range lacks {
+		if w := h.writes[item]; w.Outcome == OutcomeDone {
+			h.fail("a promoted member lacks an acknowledged write", fmt.Sprintf("%s, promoted, lacks %s, acknowledged at %s by %s", member, item, w.AckedAt.Format(time.StampMicro), w.Note))
+		}
+	}
+}
+
 // Judge compares what callers were told with how often each item is in the log of
 // the present primary.
 func (h *History) Judge(runs map[string]int) Result {
--- a/bbrsoak/plan.go
+++ b/bbrsoak/plan.go
@@ -55,6 +55,20 @@
 	// KindStoreRestored lets the store lose, at the end of the fault, what was written
 	// since its beginning.
 	KindStoreRestored Kind = "storeRestored"
+	// KindOrdersLate delivers what an instance sends to the call for promotions when the
+	// fault is over. Connections that are opened meanwhile reach nobody, unless OneWay is
+	// set: they are held like the others then.
+	KindOrdersLate Kind = "ordersLate"
+	// KindControlsLate does so with what is sent to one member, by one instance or, if
+	// OneWay is not set, by all.
+	KindControlsLate Kind = "controlsLate"
+	// KindPromotionSlow lets promotions that are ordered meanwhile take longer.
+	KindPromotionSlow Kind = "promotionSlow"
+	// KindMemberRestart restarts the first replica that is found paused.
+	KindMemberRestart Kind = "memberRestart"
+	// KindReplicationCut lets a replica receive nothing from its primary, and nothing from
+	// instances either unless OneWay is set.
+	KindReplicationCut Kind = "replicationCut"
 )
 
 // Kinds are all kinds that both dialects know.
@@ -65,7 +79,7 @@
 
 // PlatformKinds are the kinds that the users' platform adds. A plan has them only if they
 // are named, so that the plans of known seeds stay as they are.
-var PlatformKinds = []Kind{KindStoreRestored}
+var PlatformKinds = []Kind{KindStoreRestored, KindOrdersLate, KindControlsLate, KindPromotionSlow, KindMemberRestart, KindReplicationCut}
 
 // Fault is one fault of a plan.
 type Fault struct {
@@ -98,6 +112,9 @@
 	// beginnings of two of them.
 	longestFault = 3 * time.Second
 	longestPause = 1500 * time.Millisecond
+	// ordersLateFactor is how much longer orders of promotions may be late: their
+	// connections set no limit to the attempts of sending them again.
+	ordersLateFactor = 4
 	// togetherShare is the chance that a fault begins with the one before it.
 	togetherShare = 0.3
 )
@@ -121,6 +138,9 @@
 	for at := quietStart; at < quietStart+o.Span; {
 		f := Fault{Kind: kinds[r.IntN(len(kinds))], At: at, For: time.Duration(r.Int64N(int64(longestFault))), OneWay: r.IntN(3) == 0}
 		f.Target = r.IntN(targets(f.Kind, o))
+		if f.Kind == KindOrdersLate {
+			f.For *= ordersLateFactor
+		}
 		if !p.repeats(f) {
 			p.Faults = append(p.Faults, f)
 			p.Over = max(p.Over, f.end())
@@ -135,8 +155,11 @@
 // targets is the number of things that a kind of fault can strike.
 func targets(k Kind, o Options) int {
 	switch k {
-	case KindDelay, KindReset, KindReplicaCut:
+	case KindDelay, KindReset, KindReplicaCut, KindReplicationCut:
 		return max(1, o.Members)
+	case KindControlsLate:
+		// One of each pair of a member and an instance.
+		return max(1, o.Members) * max(1, o.Instances)
 	}
 	return max(1, o.Instances)
 }
@@ -151,7 +174,8 @@
 // isOfOne reports whether a kind strikes one instance or member, not all.
 func isOfOne(k Kind) bool {
 	switch k {
-	case KindStop, KindKill, KindFreeze, KindReload, KindStoreCut, KindDelay, KindReset, KindReplicaCut:
+	case KindStop, KindKill, KindFreeze, KindReload, KindStoreCut, KindDelay, KindReset, KindReplicaCut,
+		KindOrdersLate, KindControlsLate, KindReplicationCut:
 		return true
 	}
 	return false
--- a/bbrsoak/soak_test.go
+++ b/bbrsoak/soak_test.go
@@ -34,6 +34,44 @@
 	}
 }
 
+// TestPlansOfKnownSeedsStay guards against new kinds that change what known seeds do.
+func TestPlansOfKnownSeedsStay(t *testing.T) {
+	is := is.New(t)
+	p := NewPlan(1, Options{Instances: 3, Members: 3, Span: 6 * time.Second})
+	var kinds []Kind
+	for _, f := range p.Faults {
+		kinds = append(kinds, f.Kind)
+	}
+	is.Equal(kinds, []Kind{
+		KindFreeze, KindDelay, KindKill, KindReload, KindStoreDown, KindDelay, KindStoreDown, KindStoreSlow, KindStoreCut,
+		KindPrimaryCut, KindConfigure, KindStop, KindStoreSlow, KindStop,
+	})
+}
+
+// TestJudgePromotions guards against a lost write that is not seen, as one that a later
+// promotion brought back.
+func TestJudgePromotions(t *testing.T) {
+	tests := map[string]struct {
+		outcome Outcome
+		lacks   []string
+		broken  bool
+	}{
+		"an acknowledged write is lacking":  {outcome: OutcomeDone, lacks: []string{"a"}, broken: true},
+		"another one is lacking":            {outcome: OutcomeDone, lacks: []string{"b"}},
+		"a write of which nothing is known": {outcome: OutcomeUnknown, lacks: []string{"a"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := &History{}
+			h.AddWrite(Write{Item: "a", Outcome: tt.outcome})
+			h.AddPromotion("i-2", tt.lacks)
+			r := h.Judge(map[string]int{"a": 1})
+			is.Equal(len(r.Broken) > 0, tt.broken)
+		})
+	}
+}
+
 // TestJudge shows that each broken promise is found, and what is no breach is not.
 func TestJudge(t *testing.T) {
 	now := time.Unix(1000, 0)
