--- a/bbrnode/change.go
+++ b/bbrnode/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -42,8 +43,8 @@
 const (
 	commandStatus   oldPrimaryCommand = "look"
 	commandStepDown oldPrimaryCommand = "stepDown"
-	// commandPause is sent if a newer primary exists. The old primary is then one of
-	// the members that have to be paused.
+	// commandPause is sent if a newer primary exists, or may exist. The old primary is
+	// then one of the members that have to be paused.
 	commandPause oldPrimaryCommand = "hold"
 )
 
@@ -54,8 +55,9 @@
 // primaryChange is a change of primary (a failover) that this instance carries out.
 // Its steps are: claim the group's record in the store; pause replication at so many
 // replicas that the old primary cannot get any further commit acknowledged (this
-// state is called the barrier); choose a successor and have it promoted; write the
-// new primary to the record; resume replication.
+// state is called the barrier); choose a successor; enter its promotion in the record,
+// and look at the members once more; have it promoted; write the new primary to the record;
+// resume replication.
 //
 // A claim is a lease on the record: it expires unless it is renewed, so that another
 // instance can claim the record if this one fails.
@@ -77,7 +79,14 @@
 	// claimRenewedAt is when the last successful write of the record was sent. The
 	// claim is valid for bbrsuccession.ClaimTTL from then.
 	claimRenewedAt bbrtype.Mono
-	log            logrus.FieldLogger
+	// fence is the fencing token of this change.
+	fence bbrsuccession.FencingToken
+	// barrier holds the members' statuses by which the last choice was made.
+	barrier []bbrsuccession.Candidate
+	// mayBePromoted is set once a promotion was requested without a reply that shows that
+	// the request cannot take effect later.
+	mayBePromoted bool
+	log           logrus.FieldLogger
 }
 
 // changePrimary replaces the primary of a group, unless a change of the group is
@@ -123,11 +132,14 @@
 // run carries out the steps of the change.
 func (c *primaryChange) run(ctx context.Context) error {
 	record := bbrsuccession.Claim(c.known, c.node.settings.Name, c.node.currentEra().Era)
+	record.Orders = c.known.PendingOrders(c.node.clock.Now())
 	if err := c.writeRecord(ctx, record); err != nil {
 		return errors.Wrap(err, "claim the record")
 	}
-	c.log.WithField("fence", record.FencingToken).Info("change of primary begins")
-	choice, barrierAt, err := c.reachBarrier(ctx)
+	c.fence = record.FencingToken
+	c.log = c.log.WithField("fence", c.fence)
+	c.log.WithField("orders", record.Orders).Info("change of primary begins")
+	choice, barrierAt, err := c.chooseAndAnnounce(ctx)
 	if err != nil {
 		c.abort(ctx)
 		return err
@@ -138,7 +150,7 @@
 		c.node.runAsync(func() { _, _ = c.group.StepDown(ctx, c.oldPrimary.Member, c.pauseTerm) })
 	}
 	if choice.Decision == bbrsuccession.DecisionPromote {
-		if err := c.promote(ctx, &choice, record.FencingToken); err != nil {
+		if err := c.promote(ctx, &choice); err != nil {
 			if !errors.Is(err, errPromotionPending) {
 				c.abort(ctx)
 			}
@@ -156,6 +168,48 @@
 	return c.completeChange(ctx, choice)
 }
 
+// chooseAndAnnounce reaches the barrier and returns the choice of the next primary. If that
+// member has to be promoted, its promotion is entered in the record, so that all instances
+// acknowledge a commit only if the member has it. Members that have joined, were restarted
+// or were told to resume replication before the instances knew that may have confirmed
+// commits, so the choice has to be the same once more after it was entered.
+func (c *primaryChange) chooseAndAnnounce(ctx context.Context) (bbrsuccession.Choice, bbrtype.Mono, error) {
+	for {
+		choice, barrierAt, err := c.reachBarrier(ctx)
+		if err != nil || choice.Decision != bbrsuccession.DecisionPromote {
+			return choice, barrierAt, err
+		}
+		if err := c.announce(ctx, choice.Member); err != nil {
+			return choice, barrierAt, err
+		}
+		if err := c.node.readMembers(ctx); err != nil {
+			c.log.WithError(err).Info("the change goes on with the members known here")
+		}
+		again := bbrsuccession.Choose(c.electionInput(c.pauseAgain(ctx)))
+		if again.Decision == choice.Decision && again.Member == choice.Member {
+			return choice, barrierAt, nil
+		}
+		c.log.WithFields(logrus.Fields{"member": choice.Member, "decision": again.Decision, "memberAgain": again.Member, "reason": again.Reason}).Info("the members have changed since the barrier was reached")
+	}
+}
+
+// announce enters the promotion of a member in the record before it is requested.
+func (c *primaryChange) announce(ctx context.Context, member bbrtype.MemberName) error {
+	order := bbrsuccession.Order{Member: member, FencingToken: c.fence}
+	for c.keepClaim(ctx) {
+		err := c.writeRecord(ctx, bbrsuccession.WithOrder(c.known, order, c.node.clock.Now()))
+		if err == nil {
+			return nil
+		}
+		c.log.WithError(err).Info("cannot enter the promotion in the record; retrying")
+		if errors.Is(err, bbrrows.ErrConflict) || errors.Is(err, errStoreRestored) {
+			return errors.Wrap(err, "enter the promotion in the record")
+		}
+		bbrtype.Sleep(ctx, stepRetryDelay)
+	}
+	return errors.New("the claim ran out before the promotion was entered in the record")
+}
+
 // keepClaim renews the claim if it is due for renewal, and reports whether the
 // change may go on: it has not been cancelled or timed out, and its claim is valid.
 func (c *primaryChange) keepClaim(ctx context.Context) bool {
@@ -176,7 +230,7 @@
 // isClaimValid reports whether the claim is still valid. After it expires, another
 // instance may claim the record and start a change of its own.
 func (c *primaryChange) isClaimValid() bool {
-	return c.node.clock.Now().Sub(c.claimRenewedAt) < bbrsuccession.ClaimTTL
+	return c.claimRenewedAt != 0 && c.node.clock.Now().Sub(c.claimRenewedAt) < bbrsuccession.ClaimTTL
 }
 
 // writeRecord writes the group's record if its version in the store is still the one
@@ -184,6 +238,9 @@
 func (c *primaryChange) writeRecord(ctx context.Context, r bbrsuccession.Record) error {
 	sentAt := c.node.clock.Now()
 	known, err := c.node.writeRecord(ctx, recordWrite{group: c.group.Name(), known: c.known, record: r})
+	if errors.Is(err, bbrrows.ErrConflict) {
+		c.claimRenewedAt = 0 // another instance has the record
+	}
 	if err != nil {
 		return err
 	}
@@ -201,14 +258,12 @@
 	command := commandStatus
 	for c.keepClaim(ctx) {
 		statuses := c.pauseReplication(ctx, command)
-		input := bbrsuccession.ElectionInput{
-			Members: statuses, OldPrimary: c.oldPrimary.Member, OldTerm: c.oldPrimary.Term, PauseTerm: c.pauseTerm, KeepOldPrimary: c.mayKeepOldPrimary,
-			SyncReplicas: c.group.Settings().SyncReplicas, LastAcked: c.group.LastAcked(),
-		}
+		input := c.electionInput(statuses)
 		choice := bbrsuccession.Choose(input)
 		if choice.Decision != bbrsuccession.DecisionWait {
 			// The log key looks holds the members' statuses.
 			c.log.WithFields(logrus.Fields{"decision": choice.Decision, "member": choice.Member, "term": choice.Term, "looks": statuses}).Info("barrier reached")
+			c.barrier = statuses
 			return choice, c.node.clock.Now(), nil
 		}
 		reason = choice.Reason
@@ -219,6 +274,15 @@
 	return bbrsuccession.Choice{}, 0, errors.Errorf("the barrier was not reached: %s", reason)
 }
 
+// electionInput returns the input of the choice of the next primary.
+func (c *primaryChange) electionInput(statuses []bbrsuccession.Candidate) bbrsuccession.ElectionInput {
+	return bbrsuccession.ElectionInput{
+		Members: statuses, OldPrimary: c.oldPrimary.Member, OldTerm: c.oldPrimary.Term, PauseTerm: c.pauseTerm, KeepOldPrimary: c.mayKeepOldPrimary,
+		SyncReplicas: c.group.Settings().SyncReplicas, LastAcked: c.group.LastAcked(),
+		Ordered: c.known.OrderedMembers(c.node.clock.Now()),
+	}
+}
+
 // readLists reads the list of members, so that those are paused that have just joined, and
 // which of them have replied. Without the store the change goes on with what is known.
 func (c *primaryChange) readLists(ctx context.Context) {
@@ -236,7 +300,7 @@
 // nextCommand returns the command that the old primary is sent next.
 func (c *primaryChange) nextCommand(input bbrsuccession.ElectionInput) oldPrimaryCommand {
 	switch {
-	case bbrsuccession.IsSuperseded(input.Members, input.OldPrimary, input.OldTerm):
+	case bbrsuccession.MayBeSuperseded(input):
 		return commandPause
 	case c.node.clock.Now().Sub(c.startedAt) > stepDownDelay && bbrsuccession.MayDemoteOldPrimary(input):
 		return commandStepDown
@@ -245,13 +309,9 @@
 }
 
 // pauseReplication orders every replica to pause replication, sends command to the
-// old primary, and returns the statuses that the members reported. Members that may
-// be running but were not queried, because they joined or left meanwhile, are added
-// as members that did not respond. Those that did not respond and cannot have confirmed
-// a commit are left out.
+// old primary, and returns the members' statuses, see queryCandidates.
 func (c *primaryChange) pauseReplication(ctx context.Context, command oldPrimaryCommand) []bbrsuccession.Candidate {
-	membersBefore := c.group.PossiblyRunningMembers()
-	statuses := c.node.callMembers(ctx, c.group, c.oldPrimary.Member, func(ctx context.Context, id bbrtype.MemberName) (bbrmessage.MemberStatus, error) {
+	return c.queryCandidates(ctx, func(ctx context.Context, id bbrtype.MemberName) (bbrmessage.MemberStatus, error) {
 		switch {
 		case id != c.oldPrimary.Member || command == commandPause:
 			return c.group.PauseReplication(ctx, id, c.pauseTerm)
@@ -260,31 +320,72 @@
 		}
 		return c.group.QueryStatus(ctx, id)
 	})
+}
+
+// errUnresponsive means that a member did not respond at the barrier.
+var errUnresponsive = errors.New("the member did not respond at the barrier")
+
+// pauseAgain orders the replicas that have responded at the barrier, or have joined since,
+// to pause replication. It returns the statuses of all members; the others count as they
+// were at the barrier.
+func (c *primaryChange) pauseAgain(ctx context.Context) []bbrsuccession.Candidate {
+	atBarrier := map[bbrtype.MemberName]bbrsuccession.Candidate{}
+	for _, m := range c.barrier {
+		atBarrier[m.ID] = m
+	}
+	return c.queryCandidates(ctx, func(ctx context.Context, id bbrtype.MemberName) (bbrmessage.MemberStatus, error) {
+		switch m, isKnown := atBarrier[id]; {
+		case isKnown && !m.Responded:
+			return m.Status, errUnresponsive
+		case isKnown && id == c.oldPrimary.Member:
+			return m.Status, nil
+		}
+		return c.group.PauseReplication(ctx, id, c.pauseTerm)
+	})
+}
+
+// queryCandidates calls a function for all members and returns the statuses that they
+// reply with. Members that may be running but were not called, because they joined or left
+// meanwhile, are added as members that did not respond. Those that did not respond and
+// cannot have confirmed a commit are left out.
+func (c *primaryChange) queryCandidates(ctx context.Context, call func(context.Context, bbrtype.MemberName) (bbrmessage.MemberStatus, error)) []bbrsuccession.Candidate {
+	membersBefore := c.group.PossiblyRunningMembers()
+	statuses := c.node.callMembers(ctx, c.group, c.oldPrimary.Member, call)
 	statuses = bbrsuccession.AddUnqueried(statuses, append(membersBefore, c.group.PossiblyRunningMembers()...)...)
-	return bbrsuccession.DropUnproven(statuses, func(id bbrtype.MemberName) bool { return c.node.mayHaveConfirmed(c.group, id) })
+	return bbrsuccession.DropUnproven(statuses, func(id bbrtype.MemberName) bool {
+		mayHaveConfirmed := c.node.mayHaveConfirmed(c.group, id)
+		if !mayHaveConfirmed {
+			c.log.WithField("member", id).Info("member left out of the change: it has replied to no instance")
+		}
+		return mayHaveConfirmed
+	})
 }
 
 // promote requests the promotion, and retries, until the member reports that it is
 // the primary of a newer term, which is stored in choice.Term. It returns
 // errPromotionPending if a requested promotion may still take effect.
-func (c *primaryChange) promote(ctx context.Context, choice *bbrsuccession.Choice, fence bbrsuccession.FencingToken) error {
-	request := bbrsuccession.PromotionRequest{Group: c.group.Name(), Member: choice.Member, FencingToken: fence}
+func (c *primaryChange) promote(ctx context.Context, choice *bbrsuccession.Choice) error {
+	request := bbrsuccession.PromotionRequest{Group: c.group.Name(), Member: choice.Member, FencingToken: c.fence}
 	var requestedAt bbrtype.Mono
-	pending := false
+	isPending := false
 	for c.keepClaim(ctx) {
 		if now := c.node.clock.Now(); requestedAt == 0 || now.Sub(requestedAt) > promotionRetryDelay {
 			err := c.node.platform.Promoter.Promote(ctx, request)
+			log := c.log.WithFields(logrus.Fields{"member": request.Member, "tookMs": c.node.clock.Now().Sub(now).Milliseconds()})
 			switch {
-			case errors.Is(err, bbrsuccession.ErrPromotionRefused) && !pending:
+			case errors.Is(err, bbrsuccession.ErrPromotionRefused) && !isPending:
 				return err
 			case errors.Is(err, bbrsuccession.ErrPromotionRefused):
+				log.Info("promotion refused, but an earlier request may take effect")
 				return errPromotionPending
 			case err != nil:
-				c.log.WithError(err).Warn("promotion request failed and may have taken effect; retrying")
+				log.WithError(err).Warn("promotion request failed and may have taken effect; retrying")
+				c.mayBePromoted = true
 			default:
+				log.Info("promotion accepted")
 				requestedAt = now
 			}
-			pending = true
+			isPending = true
 		}
 		status, err := c.group.QueryStatus(ctx, choice.Member)
 		if err == nil && status.Role == bbrmessage.RolePrimary && status.Term > c.oldPrimary.Term {
@@ -293,7 +394,7 @@
 		}
 		bbrtype.Sleep(ctx, stepRetryDelay)
 	}
-	if pending {
+	if isPending {
 		return errPromotionPending
 	}
 	return errors.New("the claim ran out before the promotion was ordered")
@@ -301,10 +402,9 @@
 
 // completeChange puts the new primary into use and writes it to the group's record,
 // with retries until the write succeeds, another change has begun, the store was restored
-// or ctx ends. After
-// a successful write it resumes replication.
+// or ctx ends. After a successful write it resumes replication.
 func (c *primaryChange) completeChange(ctx context.Context, choice bbrsuccession.Choice) error {
-	record := c.known.Record
+	record := c.recordAfterOrders()
 	record.Phase, record.Primary, record.Term = bbrsuccession.PhaseNamed, choice.Member, choice.Term
 	if choice.Decision == bbrsuccession.DecisionPromote {
 		// A member that is found to lead does not confirm the record: another one may
@@ -328,33 +428,80 @@
 	return nil
 }
 
+// recordAfterOrders returns the record without the orders that can no longer take effect.
+func (c *primaryChange) recordAfterOrders() bbrsuccession.Record {
+	if c.mayBePromoted {
+		r := c.known.Record
+		r.Orders = c.known.PendingOrders(c.node.clock.Now())
+		return r
+	}
+	return bbrsuccession.WithoutOrders(c.known, c.fence, c.node.clock.Now())
+}
+
 // resumeReplication resumes replication at the replicas and orders the old primary
 // to step down, so that it follows the new primary.
 func (c *primaryChange) resumeReplication(ctx context.Context, choice bbrsuccession.Choice) {
-	c.node.callMembers(ctx, c.group, c.oldPrimary.Member, func(ctx context.Context, id bbrtype.MemberName) (bbrmessage.MemberStatus, error) {
-		if id == choice.Member {
-			return bbrmessage.MemberStatus{}, nil
-		}
+	c.resumeReplicas(ctx, choice.Member, func(ctx context.Context, id bbrtype.MemberName) (bbrmessage.MemberStatus, error) {
 		if id == c.oldPrimary.Member && choice.Term > c.oldPrimary.Term {
 			return c.group.StepDown(ctx, id, choice.Term)
 		}
-		return c.group.ResumeReplication(ctx, id)
+		return c.resume(ctx, id)
+	})
+}
+
+// resumeReplicas calls resume for all members but the primary. While the promotion of a
+// replica may still take effect, the other replicas stay paused until that one has resumed:
+// what they confirm before would be lost by the promotion.
+func (c *primaryChange) resumeReplicas(ctx context.Context, primary bbrtype.MemberName, resume func(context.Context, bbrtype.MemberName) (bbrmessage.MemberStatus, error)) {
+	ordered := c.orderedReplicas(primary)
+	stayPaused := false
+	for _, id := range ordered {
+		if _, err := resume(ctx, id); err != nil {
+			stayPaused = true
+			c.log.WithFields(logrus.Fields{"member": id, "orders": c.known.Record.Orders}).Warn("replicas stay paused: one whose promotion may take effect has not resumed")
+		}
+	}
+	c.node.callMembers(ctx, c.group, c.oldPrimary.Member, func(ctx context.Context, id bbrtype.MemberName) (bbrmessage.MemberStatus, error) {
+		if id == primary || slices.Contains(ordered, id) || stayPaused && id != c.oldPrimary.Member {
+			return bbrmessage.MemberStatus{}, nil
+		}
+		return resume(ctx, id)
 	})
 }
 
+// orderedReplicas returns the replicas that possibly run and whose promotion may still take
+// effect.
+func (c *primaryChange) orderedReplicas(primary bbrtype.MemberName) []bbrtype.MemberName {
+	running := c.group.PossiblyRunningMembers()
+	var ordered []bbrtype.MemberName
+	for _, o := range c.recordAfterOrders().Orders {
+		isReplica := o.Member != primary && o.Member != c.oldPrimary.Member
+		if isReplica && slices.Contains(running, o.Member) && !slices.Contains(ordered, o.Member) {
+			ordered = append(ordered, o.Member)
+		}
+	}
+	return ordered
+}
+
+// resume resumes replication at a replica.
+func (c *primaryChange) resume(ctx context.Context, id bbrtype.MemberName) (bbrmessage.MemberStatus, error) {
+	status, err := c.group.ResumeReplication(ctx, id)
+	if err != nil {
+		c.log.WithField("member", id).WithError(err).Info("replication not resumed at a replica, which may stay paused")
+	}
+	return status, err
+}
+
 // abort resumes replication at the replicas and releases the claim. If the claim has
 // expired, it does nothing: another change may rely on the paused replication.
 func (c *primaryChange) abort(ctx context.Context) {
 	if !c.isClaimValid() {
+		c.log.Info("the claim has expired; replicas stay paused for the next change")
 		return
 	}
-	c.node.callMembers(ctx, c.group, c.oldPrimary.Member, func(ctx context.Context, id bbrtype.MemberName) (bbrmessage.MemberStatus, error) {
-		if id == c.oldPrimary.Member {
-			return bbrmessage.MemberStatus{}, nil
-		}
-		return c.group.ResumeReplication(ctx, id)
-	})
-	r := c.known.Record
+	c.log.Info("replication resumes and the claim is released")
+	c.resumeReplicas(ctx, c.oldPrimary.Member, c.resume)
+	r := c.recordAfterOrders()
 	r.Phase = bbrsuccession.PhaseNamed
 	if c.oldPrimary.Term >= r.Term {
 		r.Primary, r.Term = c.oldPrimary.Member, c.oldPrimary.Term
