--- a/bbrsuccession/record.go
+++ b/bbrsuccession/record.go
@@ -133,7 +133,7 @@
 // OrderTTL is how long a promotion may still take effect after the last sign that its
 // holder may request it: the holder's claim expires, its last request times out, and a
 // machine that stood still meanwhile sends what it had not sent.
-const OrderTTL = 10 * time.Second
+const OrderTTL = 20 * time.Second
 
 // Next returns what is known once a version of the record is read at now.
 func (v VersionedRecord) Next(record Record, version bbrrows.Version, now bbrtype.Mono) VersionedRecord {
