Mend what a review of the trace found: proofs, records and second looks beside a late promotion

Stale reads: after a change has kept the old primary, a promotion that acts late makes another member lead, and the record goes on naming the old one. A record proves nothing while the promotion of another member may act, nor does a commit that the ordered member is not known to have. An instance that finds a leader beyond a record that is not claimed writes it, by a change that adopts it, which also orders the old primary to step down. TestStoreDoesNotProveWhileOrderMayAct/another_member_was_ordered_to_lead, before: FAIL TestLeaderThatNoChangeNamedIsRecorded, before: FAIL

Lost commits: the second look and the repeated orders to pause left out the old primary, also where it is a paused replica of a newer one. And it is resumed after it has stepped down. TestPausedOldPrimaryIsLookedAtAgain, before: FAIL

Lost orders: a restore of the store dropped them (TestOrderIsKeptOverRestore).

No writes: while replicas stay paused for an ordered member, commits stall, and a change began each time for that. It cannot help and is left out. A change that is given up resumes the ordered replicas at once, and the others only while its claim is valid. The term for a pause is above that of an old primary that has to be paused.

Left, by reading only: a member whose entry has expired is dropped before its order (14.5 s and 20 s), and cannot be resumed before; an order that has expired counts anew for an instance that starts, until the record is next written; commits in doubt where the only settled replica crashes within ten seconds of the other one's restart.

--- a/bbrlink/reply.go
+++ b/bbrlink/reply.go
@@ -29,7 +29,7 @@
 // is left to AwaitLasting. It returns the time from which the reply may be
 // passed on, see commitUsableFrom.
 func (g *Group) RecordReply(c *Conn, r ReplyRecord) (usableFrom bbrtype.Mono) {
-	view := g.viewChange()
+	view, ordered := g.viewChange(), g.orderedMembers()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.recordChangeView(view)
@@ -58,8 +58,9 @@
 		g.stalledSince, g.lastCommitSentAt = 0, max(g.lastCommitSentAt, r.SentAt)
 	}
 	// A replica that a change of primary does not know of or leaves out may confirm commits
-	// after the barrier. Such a commit is a proof only once AwaitLasting shows it.
-	mayPassBarrier := view.isChanging || g.hasUnsettledReplica(g.primary.Member, view)
+	// after the barrier, or while a promotion takes effect. Such a commit is a proof only once
+	// AwaitLasting shows it.
+	mayPassBarrier := view.isChanging || len(g.runningOf(ordered, g.primary.Member)) > 0 || g.hasUnsettledReplica(g.primary.Member, view)
 	if r.IsWriteCommit && r.Reply.Position.Term == g.primary.Term && g.settings.SyncReplicas > 0 && !mayPassBarrier {
 		g.recordProof(proofByCommit, g.primary.Term, r.SentAt)
 	}
--- a/bbrnode/change.go
+++ b/bbrnode/change.go
@@ -270,8 +270,8 @@
 			return choice, c.node.clock.Now(), nil
 		}
 		reason = choice.Reason
-		c.pauseTerm = max(c.pauseTerm, bbrsuccession.PauseTerm(statuses, c.oldPrimary.Member))
 		command = c.nextCommand(input)
+		c.pauseTerm = max(c.pauseTerm, bbrsuccession.PauseTerm(statuses, c.oldPrimary.Member, command == commandPause))
 		bbrtype.Sleep(ctx, stepRetryDelay)
 	}
 	return bbrsuccession.Choice{}, 0, errors.Errorf("the barrier was not reached: %s", reason)
@@ -329,8 +329,8 @@
 var errUnresponsive = errors.New("the member did not respond at the barrier")
 
 // pauseAgain orders the replicas that have responded at the barrier, or have joined since,
-// to pause replication. It returns the statuses of all members; the others count as they
-// were at the barrier.
+// to pause replication, the old primary among them if it was paused as one. It returns the
+// statuses of all members; the others count as they were at the barrier.
 func (c *primaryChange) pauseAgain(ctx context.Context) []bbrsuccession.Candidate {
 	atBarrier := map[bbrtype.MemberName]bbrsuccession.Candidate{}
 	for _, m := range c.barrier {
@@ -340,7 +340,7 @@
 		switch m, isKnown := atBarrier[id]; {
 		case isKnown && !m.Responded:
 			return m.Status, errUnresponsive
-		case isKnown && id == c.oldPrimary.Member:
+		case isKnown && id == c.oldPrimary.Member && !bbrsuccession.IsPaused(m, c.pauseTerm):
 			return m.Status, nil
 		}
 		return c.group.PauseReplication(ctx, id, c.pauseTerm)
@@ -405,14 +405,14 @@
 	return errors.New("the claim ran out before the promotion was ordered")
 }
 
-// keepPaused orders the replicas that responded at the barrier to pause replication again at
+// keepPaused orders the replicas that were paused at the barrier to pause replication again at
 // intervals, but for the one that is promoted, until the function that it returns is called.
-// That one waits for the replies, so that no order arrives after those to resume.
+// That one waits for the replies, so that the orders arrive before those to resume.
 func (c *primaryChange) keepPaused(ctx context.Context, promoted bbrtype.MemberName) (stop func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	var pauses errgroup.Group
 	for _, m := range c.barrier {
-		if m.ID == promoted || m.ID == c.oldPrimary.Member || !m.Responded {
+		if m.ID == promoted || !bbrsuccession.IsPaused(m, c.pauseTerm) {
 			continue
 		}
 		pauses.Go(func() error {
@@ -479,25 +479,35 @@
 // to step down, so that it follows the new primary.
 func (c *primaryChange) resumeReplication(ctx context.Context, choice bbrsuccession.Choice) {
 	c.resumeReplicas(ctx, choice.Member, func(ctx context.Context, id bbrtype.MemberName) (bbrmessage.MemberStatus, error) {
-		if id == c.oldPrimary.Member && choice.Term > c.oldPrimary.Term {
-			return c.group.StepDown(ctx, id, choice.Term)
+		if id != c.oldPrimary.Member || choice.Term <= c.oldPrimary.Term {
+			return c.resume(ctx, id)
 		}
-		return c.resume(ctx, id)
-	})
+		status, err := c.group.StepDown(ctx, id, choice.Term)
+		if err == nil && status.PausedTerm > 0 {
+			return c.resume(ctx, id)
+		}
+		return status, err
+	}, func() bool { return true })
 }
 
 // resumeReplicas calls resume for all members but the primary. While the promotion of a
 // replica may still take effect, the other replicas stay paused until that one has resumed:
-// what they confirm before would be lost by the promotion.
-func (c *primaryChange) resumeReplicas(ctx context.Context, primary bbrtype.MemberName, resume func(context.Context, bbrtype.MemberName) (bbrmessage.MemberStatus, error)) {
+// what they confirm before would be lost by the promotion. They also stay paused if mayGoOn
+// returns false by then.
+func (c *primaryChange) resumeReplicas(ctx context.Context, primary bbrtype.MemberName, resume func(context.Context, bbrtype.MemberName) (bbrmessage.MemberStatus, error), mayGoOn func() bool) {
 	ordered := c.orderedReplicas(primary)
-	stayPaused := false
+	var first errgroup.Group
 	for _, id := range ordered {
-		if _, err := resume(ctx, id); err != nil {
-			stayPaused = true
-			c.log.WithFields(logrus.Fields{"member": id, "orders": c.known.Record.Orders}).Warn("replicas stay paused: one whose promotion may take effect has not resumed")
-		}
+		first.Go(func() error {
+			_, err := resume(ctx, id)
+			return errors.Wrapf(err, "member %s", id)
+		})
+	}
+	err := first.Wait()
+	if err != nil {
+		c.log.WithError(err).WithField("orders", c.known.Record.Orders).Warn("replicas stay paused: one whose promotion may take effect has not resumed")
 	}
+	stayPaused := err != nil || !mayGoOn()
 	c.node.callMembers(ctx, c.group, c.oldPrimary.Member, func(ctx context.Context, id bbrtype.MemberName) (bbrmessage.MemberStatus, error) {
 		if id == primary || slices.Contains(ordered, id) || stayPaused && id != c.oldPrimary.Member {
 			return bbrmessage.MemberStatus{}, nil
@@ -537,7 +547,7 @@
 		return
 	}
 	c.log.Info("replication resumes and the claim is released")
-	c.resumeReplicas(ctx, c.oldPrimary.Member, c.resume)
+	c.resumeReplicas(ctx, c.oldPrimary.Member, c.resume, c.isClaimValid)
 	r := c.recordAfterOrders()
 	r.Phase = bbrsuccession.PhaseNamed
 	if c.oldPrimary.Term >= r.Term {
--- a/bbrnode/maintain.go
+++ b/bbrnode/maintain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -122,7 +123,7 @@
 	}
 	p := bbrlink.Primary{Member: best.ID, Term: best.Status.Term}
 	known := n.knownRecord(g.Name())
-	if bbrsuccession.NamesTerm(known, n.currentEra().Era, p.Term) {
+	if bbrsuccession.NamesTerm(known, n.currentEra().Era, p.Term, n.clock.Now()) {
 		g.SetPrimary(p)
 		return
 	}
@@ -130,6 +131,13 @@
 	// expire before the new one is used.
 	p.UsableFrom = foundAt.Add(bbrproof.LeaseDuration)
 	g.SetPrimary(p)
+	if known.LacksLeader(p.Term) {
+		// Until the record names the new primary, it proves the old one to instances that
+		// do not know better.
+		named := bbrlink.Primary{Member: known.Record.Primary, Term: known.Record.Term}
+		n.runAsync(func() { n.changePrimary(ctx, g, named, "a member leads a newer term than the record names") })
+		return
+	}
 	if known.Exists {
 		return
 	}
@@ -145,7 +153,7 @@
 func (n *Node) storeConfirmsTerm(ctx context.Context, name bbrtype.GroupName, term bbrtype.Term, foundAt bbrtype.Mono) bool {
 	err := n.storeProofFlight.doSince(ctx, foundAt, n.clock.Now, n.proveByRecords)
 	known, era := n.knownRecord(name), n.currentEra()
-	isConfirmed := err == nil && bbrsuccession.ConfirmsTerm(known, era.Era, term)
+	isConfirmed := err == nil && bbrsuccession.ConfirmsTerm(known, era.Era, term, n.clock.Now())
 	log := n.log.WithFields(logrus.Fields{
 		"group": name, "term": term, "confirmed": isConfirmed, "recordExists": known.Exists, "recordTerm": known.Record.Term,
 		"era": era.Era, "tookMs": n.clock.Now().Sub(foundAt).Milliseconds(),
@@ -268,7 +276,8 @@
 	observation := bbrsuccession.PrimaryObservation{
 		UnresponsiveSince: g.UnresponsiveSince(p.Member), NotLeadingSince: g.DemotedSince(),
 		CommitsStalledSince: g.CommitsStalledSince(), LastReplicatedAt: advancedAt, WatchedSince: watchedSince,
-		Deregistered: true, HasSeenCommit: !g.LastAcked().IsZero(),
+		MayBeReplaced: slices.ContainsFunc(n.orderedMembers(g.Name()), func(id bbrtype.MemberName) bool { return id != p.Member }),
+		Deregistered:  true, HasSeenCommit: !g.LastAcked().IsZero(),
 	}
 	for _, m := range g.Members() {
 		if m.ID == p.Member {
--- a/bbrnode/order_test.go
+++ b/bbrnode/order_test.go
@@ -157,3 +157,73 @@
 		})
 	}
 }
+
+// TestStoreDoesNotProveWhileOrderMayAct guards against stale reads at an old primary that a
+// change has kept, while the promotion of another member acts late.
+func TestStoreDoesNotProveWhileOrderMayAct(t *testing.T) {
+	tests := map[string]struct {
+		orders []bbrsuccession.Order
+		want   bool
+	}{
+		"nothing was ordered":                {want: true},
+		"the primary itself was ordered":     {orders: []bbrsuccession.Order{{Member: "old", FencingToken: 1}}, want: true},
+		"another member was ordered to lead": {orders: []bbrsuccession.Order{{Member: "r1", FencingToken: 1}}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			store := &memoryStore{}
+			store.put(is, groupTable, "orders", bbrsuccession.Record{Phase: bbrsuccession.PhaseNamed, FencingToken: 1, Holder: "other", Primary: "old", Term: 1, Orders: tt.orders})
+			n, g, _ := newRecordNodeWithMembers(store)
+			is.NoErr(n.proveByRecords(context.Background()))
+			is.Equal(g.ProofSentAt(g.Primary()) != 0, tt.want)
+		})
+	}
+}
+
+// TestLeaderThatNoChangeNamedIsRecorded guards against a record that proves an old primary
+// for good after a promotion that was given up has acted.
+func TestLeaderThatNoChangeNamedIsRecorded(t *testing.T) {
+	is := is.New(t)
+	store := &memoryStore{}
+	store.put(is, groupTable, "orders", bbrsuccession.Record{Phase: bbrsuccession.PhaseNamed, FencingToken: 1, Holder: "other", Primary: "old", Term: 1})
+	n, g, members := newRecordNodeWithMembers(store)
+	is.NoErr(n.proveByRecords(context.Background()))
+	members.lead("r1", 2)
+	n.findPrimary(context.Background(), g)
+	_ = n.background.Wait()
+	record := n.knownRecord("orders").Record
+	is.Equal(record.Phase, bbrsuccession.PhaseNamed)
+	is.Equal(record.Primary, bbrtype.MemberName("r1"))
+	is.Equal(record.Term, bbrtype.Term(2))
+	is.True(members.hasReceived("stepDown 2 old"))
+}
+
+// TestPausedOldPrimaryIsLookedAtAgain guards against the loss of commits of a newer primary
+// that the old one, a replica by now, confirms after it was restarted.
+func TestPausedOldPrimaryIsLookedAtAgain(t *testing.T) {
+	is := is.New(t)
+	paused := bbrmessage.MemberStatus{Role: bbrmessage.RoleReplica, Term: 2, Received: bbrmessage.LogPosition{Term: 2, Index: 9}, PausedTerm: 3}
+	behind, ahead := paused, paused
+	behind.Received.Index, ahead.Received.Index = 8, 20
+	members := &fakeMembers{statuses: map[bbrtype.MemberName]bbrmessage.MemberStatus{"old": behind, "r1": {}, "r2": paused}}
+	members.setUnreachable("r1") // the newer primary
+	store := &fakeStore{writeErr: func(r bbrsuccession.Record) error {
+		if len(r.Orders) > 0 && r.Orders[0].Member == "r2" {
+			members.mu.Lock()
+			defer members.mu.Unlock()
+			members.statuses["old"] = ahead
+		}
+		return nil
+	}}
+	n, g := newFailoverNode(members, store)
+	var entered []bbrsuccession.Order
+	n.platform.Promoter = fakePromoter(func() error {
+		entered = store.lastRecord.Orders
+		members.lead(entered[0].Member, 4)
+		return nil
+	})
+	n.changePrimary(context.Background(), g, bbrlink.Primary{Member: "old", Term: 1}, "test")
+	_ = n.background.Wait()
+	is.Equal(entered, []bbrsuccession.Order{{Member: "old", FencingToken: 1}})
+}
--- a/bbrnode/prove.go
+++ b/bbrnode/prove.go
@@ -56,7 +56,7 @@
 	n.applyRows(rows)
 	for _, g := range n.allGroups() {
 		p := g.Primary()
-		if bbrsuccession.ConfirmsTerm(n.knownRecord(g.Name()), version.Era, p.Term) {
+		if bbrsuccession.ConfirmsTerm(n.knownRecord(g.Name()), version.Era, p.Term, n.clock.Now()) {
 			g.RecordStoreProof(p.Term, sentAt)
 		}
 	}
--- a/bbrsuccession/order_test.go
+++ b/bbrsuccession/order_test.go
@@ -150,3 +150,17 @@
 	c.Status.PausedTerm = pausedTerm
 	return c
 }
+
+// TestOrderIsKeptOverRestore guards against an order that a restore of the store lost and
+// that acts afterwards.
+func TestOrderIsKeptOverRestore(t *testing.T) {
+	is := is.New(t)
+	now := bbrtype.Mono(time.Hour)
+	order := Order{Member: "m1", FencingToken: 2}
+	known := VersionedRecord{}.Next(Record{Phase: PhaseClaimed, FencingToken: 2, Orders: []Order{order}}, bbrrows.Version{Era: 1, Number: 9}, now)
+	copied := Record{Phase: PhaseNamed, FencingToken: 1, Primary: "old", Term: 1}
+	restored := known.Next(copied, bbrrows.Version{Era: 2, Number: 5}, now.Add(time.Second))
+	is.Equal(restored.PendingOrders(now.Add(time.Second)), []Order{order})
+	is.Equal(len(restored.PendingOrders(now.Add(time.Second+OrderTTL))), 0)
+	is.Equal(len(known.Next(copied, bbrrows.Version{Era: 1, Number: 10}, now).PendingOrders(now)), 0) // a later write
+}
--- a/bbrsuccession/record.go
+++ b/bbrsuccession/record.go
@@ -135,8 +135,17 @@
 // machine that stood still meanwhile sends what it had not sent.
 const OrderTTL = 20 * time.Second
 
-// Next returns what is known once a version of the record is read at now.
+// Next returns what is known once a version of the record is read at now. A restore of the
+// store may have lost orders that may still take effect, so those are kept.
 func (v VersionedRecord) Next(record Record, version bbrrows.Version, now bbrtype.Mono) VersionedRecord {
+	if v.Version.Era != version.Era {
+		record.Orders = slices.Clone(record.Orders)
+		for _, o := range v.PendingOrders(now) {
+			if !slices.Contains(record.Orders, o) {
+				record.Orders = append(record.Orders, o)
+			}
+		}
+	}
 	next := VersionedRecord{Record: record, Exists: true, Version: version, FirstReadAt: now, orderedAt: map[Order]bbrtype.Mono{}}
 	for _, o := range record.Orders {
 		at, known := v.orderedAt[o]
@@ -203,12 +212,12 @@
 }
 
 // ConfirmsTerm reports whether a record shows that no failover has started since the
-// primary of the given term took over. The record must have been read from the store after
+// primary of the given term took over, and that no promotion of an earlier one may act. The record must have been read from the store after
 // that primary was found, because an older copy does not show what has begun since. The
 // primary's name is not compared, because a member that crashed may restart under another
 // name.
-func ConfirmsTerm(current VersionedRecord, era bbrrows.Era, term bbrtype.Term) bool {
-	if !current.IsConfirmedIn(era) {
+func ConfirmsTerm(current VersionedRecord, era bbrrows.Era, term bbrtype.Term, now bbrtype.Mono) bool {
+	if !current.IsConfirmedIn(era) || current.mayBeOutdated(now) {
 		return false
 	}
 	return !current.Exists || current.Record.Phase == PhaseNamed && current.Record.Term == term
@@ -217,8 +226,20 @@
 // NamesTerm reports whether a record names the primary of the given term, so that the
 // leases on its predecessors have expired. Unlike the absence of a record, this holds
 // however old the copy of the record is.
-func NamesTerm(known VersionedRecord, era bbrrows.Era, term bbrtype.Term) bool {
-	return known.Exists && ConfirmsTerm(known, era, term)
+func NamesTerm(known VersionedRecord, era bbrrows.Era, term bbrtype.Term, now bbrtype.Mono) bool {
+	return known.Exists && ConfirmsTerm(known, era, term, now)
+}
+
+// mayBeOutdated reports whether a promotion that is not the record's may have taken effect,
+// so that another member leads than the record names.
+func (v VersionedRecord) mayBeOutdated(now bbrtype.Mono) bool {
+	return slices.ContainsFunc(v.OrderedMembers(now), func(id bbrtype.MemberName) bool { return id != v.Record.Primary })
+}
+
+// LacksLeader reports whether a record names an older primary than one that leads a term,
+// although no failover is running: a promotion that was given up has taken effect.
+func (v VersionedRecord) LacksLeader(term bbrtype.Term) bool {
+	return v.Exists && v.Record.Phase == PhaseNamed && v.Record.Term < term
 }
 
 // ConfirmableFrom returns the time from which a proof of the primary (see bbrproof) is
--- a/bbrsuccession/record_test.go
+++ b/bbrsuccession/record_test.go
@@ -52,7 +52,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			is.Equal(ConfirmsTerm(VersionedRecord{Record: tt.record, Exists: tt.exists}, 0, 2), tt.want)
+			is.Equal(ConfirmsTerm(VersionedRecord{Record: tt.record, Exists: tt.exists}, 0, 2, 0), tt.want)
 		})
 	}
 }
@@ -118,7 +118,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			is.Equal(ConfirmsTerm(tt.known, 2, 2), tt.want)
+			is.Equal(ConfirmsTerm(tt.known, 2, 2, 0), tt.want)
 		})
 	}
 }
--- a/bbrsuccession/succession.go
+++ b/bbrsuccession/succession.go
@@ -245,7 +245,7 @@
 			if m.Responded && m.Status.Role == bbrmessage.RoleReplica {
 				demoted = &in.Members[i]
 			}
-		case isPaused(m, in.PauseTerm):
+		case IsPaused(m, in.PauseTerm):
 			paused = append(paused, m)
 		default:
 			notPaused++
@@ -269,9 +269,9 @@
 	return Choice{Decision: DecisionPromote, Member: best.ID, Term: in.PauseTerm}
 }
 
-// isPaused reports whether a member is a replica that has paused replication. A primary
+// IsPaused reports whether a member is a replica that has paused replication. A primary
 // receives nothing, so that an order to pause does not keep it from acknowledging commits.
-func isPaused(m Candidate, term bbrtype.Term) bool {
+func IsPaused(m Candidate, term bbrtype.Term) bool {
 	return m.Responded && m.Status.Role == bbrmessage.RoleReplica && m.Status.PausedTerm >= term
 }
 
@@ -318,7 +318,7 @@
 func chooseIfSuperseded(in ElectionInput) Choice {
 	var paused []Candidate
 	for _, m := range in.Members {
-		if isPaused(m, in.PauseTerm) {
+		if IsPaused(m, in.PauseTerm) {
 			paused = append(paused, m)
 		}
 	}
@@ -388,15 +388,15 @@
 // PauseTerm returns the term under which a failover must pause replication. It is
 // higher than every term in the members' statuses and logs, and not lower than any
 // term under which a member is already paused. The status term of the old primary is
-// ignored, see IsSuperseded.
-func PauseTerm(members []Candidate, old bbrtype.MemberName) bbrtype.Term {
+// ignored, see IsSuperseded, unless it is to be paused like any other member.
+func PauseTerm(members []Candidate, old bbrtype.MemberName, pausesOld bool) bbrtype.Term {
 	term := bbrtype.Term(0)
 	for _, m := range members {
 		if !m.Responded {
 			continue
 		}
 		term = max(term, m.Status.PausedTerm, m.Status.Received.Term+1)
-		if m.ID != old {
+		if m.ID != old || pausesOld {
 			term = max(term, m.Status.Term+1)
 		}
 	}
@@ -428,6 +428,9 @@
 	// WatchedSince is when this instance began to watch the replicas, 0 if it does not
 	// watch them.
 	WatchedSince bbrtype.Mono
+	// MayBeReplaced is set while a promotion of another member may take effect. Other
+	// replicas are paused until that member has resumed, so that commits stall.
+	MayBeReplaced bool
 	// Draining is set if the primary is being drained.
 	Draining bool
 	// Deregistered is set if the primary is no longer registered in the member directory.
@@ -459,7 +462,7 @@
 	case !o.Deregistered && (o.WatchedSince == 0 || now.Sub(o.WatchedSince) < minWatchTime):
 		// A single status query does not show whether the replicas are receiving commits.
 		return "", false
-	case o.PrimaryAhead && o.CommitsStalledSince != 0 && now.Sub(o.CommitsStalledSince) > commitStallTimeout:
+	case !o.MayBeReplaced && o.PrimaryAhead && o.CommitsStalledSince != 0 && now.Sub(o.CommitsStalledSince) > commitStallTimeout:
 		return "commits are not confirmed", true
 	case o.UnresponsiveSince != 0 && now.Sub(o.UnresponsiveSince) > timeout:
 		return "the primary does not answer", true
