Write a leader that no change named to the record without a pause

Cause: the change that was to write the leader to the record first ordered all members to pause under a term that the leader has already passed. They refuse, which counts as no reply, so the leader was never seen, and the change was given up after 8 s, again and again.

It now queries the members' statuses only, and names the one that leads after the proofs of the old primary have expired.

--- a/bbrnode/change.go
+++ b/bbrnode/change.go
@@ -79,6 +79,8 @@
 	// began. If it responds again before the barrier is reached, it may stay the
 	// primary.
 	mayKeepOldPrimary bool
+	// adoptsLeader is set if the change only writes the member that leads to the record.
+	adoptsLeader bool
 	// claimRenewedAt is when the last successful write of the record was sent. The
 	// claim is valid for bbrsuccession.ClaimTTL from then.
 	claimRenewedAt bbrtype.Mono
@@ -99,15 +101,29 @@
 		return
 	}
 	defer n.endChange(g.Name())
-	known := n.knownRecord(g.Name())
-	if !bbrsuccession.MayClaim(known, n.settings.Name, n.currentEra(), n.clock.Now()) {
+	n.runChange(ctx, &primaryChange{group: g, oldPrimary: oldPrimary, mayKeepOldPrimary: g.UnresponsiveSince(oldPrimary.Member) != 0}, reason)
+}
+
+// recordLeader writes the leader of a group to its record, unless a change of the group is
+// running. The record names the primary named, and a promotion that was given up has taken
+// effect since.
+func (n *Node) recordLeader(ctx context.Context, g *bbrlink.Group, named bbrlink.Primary) {
+	if !n.beginChange(g.Name()) {
 		return
 	}
-	c := &primaryChange{
-		node: n, group: g, oldPrimary: oldPrimary, known: known, startedAt: n.clock.Now(), mayKeepOldPrimary: g.UnresponsiveSince(oldPrimary.Member) != 0,
-		// The log key why holds the reason for the change.
-		log: n.log.WithFields(logrus.Fields{"group": g.Name(), "old": oldPrimary.Member, "oldTerm": oldPrimary.Term, "why": reason}),
+	defer n.endChange(g.Name())
+	n.runChange(ctx, &primaryChange{group: g, oldPrimary: named, adoptsLeader: true}, "a member leads a newer term than the record names")
+}
+
+// runChange runs a change of primary, if this instance may claim the group's record.
+func (n *Node) runChange(ctx context.Context, c *primaryChange, reason string) {
+	known := n.knownRecord(c.group.Name())
+	if !bbrsuccession.MayClaim(known, n.settings.Name, n.currentEra(), n.clock.Now()) {
+		return
 	}
+	c.node, c.known, c.startedAt = n, known, n.clock.Now()
+	// The log key why holds the reason for the change.
+	c.log = n.log.WithFields(logrus.Fields{"group": c.group.Name(), "old": c.oldPrimary.Member, "oldTerm": c.oldPrimary.Term, "why": reason})
 	if err := c.run(ctx); err != nil {
 		c.log.WithError(err).Warn("change of primary given up")
 	}
@@ -142,7 +158,11 @@
 	c.fence = record.FencingToken
 	c.log = c.log.WithField("fence", c.fence)
 	c.log.WithField("orders", record.Orders).Info("change of primary begins")
-	choice, barrierAt, err := c.chooseAndAnnounce(ctx)
+	next := c.chooseAndAnnounce
+	if c.adoptsLeader {
+		next = c.findLeader
+	}
+	choice, barrierAt, err := next(ctx)
 	if err != nil {
 		c.abort(ctx)
 		return err
@@ -196,6 +216,15 @@
 	}
 }
 
+// findLeader returns the member that leads a newer term than the old primary.
+func (c *primaryChange) findLeader(ctx context.Context) (bbrsuccession.Choice, bbrtype.Mono, error) {
+	choice := bbrsuccession.Choose(c.electionInput(c.queryCandidates(ctx, c.group.QueryStatus)))
+	if choice.Decision != bbrsuccession.DecisionAdopt || choice.Term <= c.oldPrimary.Term {
+		return choice, 0, errors.New("no member leads a newer term")
+	}
+	return choice, c.node.clock.Now(), nil
+}
+
 // announce enters the promotion of a member in the record before it is requested.
 func (c *primaryChange) announce(ctx context.Context, member bbrtype.MemberName) error {
 	order := bbrsuccession.Order{Member: member, FencingToken: c.fence}
--- a/bbrnode/maintain.go
+++ b/bbrnode/maintain.go
@@ -135,7 +135,7 @@
 		// Until the record names the new primary, it proves the old one to instances that
 		// do not know better.
 		named := bbrlink.Primary{Member: known.Record.Primary, Term: known.Record.Term}
-		n.runAsync(func() { n.changePrimary(ctx, g, named, "a member leads a newer term than the record names") })
+		n.runAsync(func() { n.recordLeader(ctx, g, named) })
 		return
 	}
 	if known.Exists {
