Split the promotion and the resumption of replicas from the file of a change of primary

No logic moves but one line: the order to step down that follows the adoption of a leader carries its term, not that of a pause that was never given.

--- a/bbrnode/change.go
+++ b/bbrnode/change.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,12 +25,6 @@
 	// oldPrimaryExtraWait is how much longer callMembers waits for the old primary,
 	// which may be down, after all other members have replied.
 	oldPrimaryExtraWait = 40 * time.Millisecond
-	// pauseAgainInterval is the interval at which replicas are ordered to pause replication
-	// again while a promotion is awaited. One that was restarted receives until then.
-	pauseAgainInterval = 200 * time.Millisecond
-	// promotionRetryDelay is how long after the platform accepted a promotion
-	// request the request is sent again, if the member has not become the primary.
-	promotionRetryDelay = 2500 * time.Millisecond
 	// changeTimeout bounds a change of primary. A change that takes longer is given
 	// up (see run for what is undone), and a later inspection may start a new one.
 	changeTimeout = 8 * time.Second
@@ -51,10 +44,6 @@
 	commandPause oldPrimaryCommand = "hold"
 )
 
-// errPromotionPending means that a promotion was requested and may still take
-// effect.
-var errPromotionPending = errors.New("the promoted member does not lead in time")
-
 // primaryChange is a change of primary (a failover) that this instance carries out.
 // Its steps are: claim the group's record in the store; pause replication at so many
 // replicas that the old primary cannot get any further commit acknowledged (this
@@ -170,7 +159,8 @@
 	if choice.Term > c.oldPrimary.Term && choice.Member != c.oldPrimary.Member {
 		// The old primary must not get any further commit acknowledged. It may be
 		// down, so its reply is not awaited.
-		c.node.runAsync(func() { _, _ = c.group.StepDown(ctx, c.oldPrimary.Member, c.pauseTerm) })
+		term := max(c.pauseTerm, choice.Term)
+		c.node.runAsync(func() { _, _ = c.group.StepDown(ctx, c.oldPrimary.Member, term) })
 	}
 	if choice.Decision == bbrsuccession.DecisionPromote {
 		if err := c.promote(ctx, &choice); err != nil {
@@ -225,23 +215,6 @@
 	return choice, c.node.clock.Now(), nil
 }
 
-// announce enters the promotion of a member in the record before it is requested.
-func (c *primaryChange) announce(ctx context.Context, member bbrtype.MemberName) error {
-	order := bbrsuccession.Order{Member: member, FencingToken: c.fence}
-	for c.keepClaim(ctx) {
-		err := c.writeRecord(ctx, bbrsuccession.WithOrder(c.known, order, c.node.clock.Now()))
-		if err == nil {
-			return nil
-		}
-		c.log.WithError(err).Info("cannot enter the promotion in the record; retrying")
-		if errors.Is(err, bbrrows.ErrConflict) || errors.Is(err, errStoreRestored) {
-			return errors.Wrap(err, "enter the promotion in the record")
-		}
-		bbrtype.Sleep(ctx, stepRetryDelay)
-	}
-	return errors.New("the claim ran out before the promotion was entered in the record")
-}
-
 // keepClaim renews the claim if it is due for renewal, and reports whether the
 // change may go on: it has not been cancelled or timed out, and its claim is valid.
 func (c *primaryChange) keepClaim(ctx context.Context) bool {
@@ -393,79 +366,6 @@
 	})
 }
 
-// promote requests the promotion, and retries, until the member reports that it is
-// the primary of a newer term, which is stored in choice.Term. It returns
-// errPromotionPending if a requested promotion may still take effect.
-func (c *primaryChange) promote(ctx context.Context, choice *bbrsuccession.Choice) error {
-	request := bbrsuccession.PromotionRequest{Group: c.group.Name(), Member: choice.Member, FencingToken: c.fence}
-	var requestedAt bbrtype.Mono
-	isPending := false
-	defer c.keepPaused(ctx, choice.Member)()
-	for c.keepClaim(ctx) {
-		if now := c.node.clock.Now(); requestedAt == 0 || now.Sub(requestedAt) > promotionRetryDelay {
-			err := c.node.platform.Promoter.Promote(ctx, request)
-			log := c.log.WithFields(logrus.Fields{"member": request.Member, "tookMs": c.node.clock.Now().Sub(now).Milliseconds()})
-			switch {
-			case errors.Is(err, bbrsuccession.ErrPromotionRefused) && !isPending:
-				return err
-			case errors.Is(err, bbrsuccession.ErrPromotionRefused):
-				log.Info("promotion refused, but an earlier request may take effect")
-				return errPromotionPending
-			case errors.Is(err, bbrsuccession.ErrPromotionNotSent):
-				log.WithError(err).Warn("promotion request not sent; retrying")
-			case err != nil:
-				log.WithError(err).Warn("promotion request failed and may have taken effect; retrying")
-				c.mayBePromoted, isPending = true, true
-			default:
-				log.Info("promotion accepted")
-				requestedAt, isPending = now, true
-			}
-		}
-		status, err := c.group.QueryStatus(ctx, choice.Member)
-		if err == nil && status.Role == bbrmessage.RolePrimary && status.Term > c.oldPrimary.Term {
-			choice.Term = status.Term
-			return nil
-		}
-		bbrtype.Sleep(ctx, stepRetryDelay)
-	}
-	if isPending {
-		return errPromotionPending
-	}
-	return errors.New("the claim ran out before the promotion was ordered")
-}
-
-// keepPaused orders the replicas that were paused at the barrier to pause replication again at
-// intervals, but for the one that is promoted, until the function that it returns is called.
-// That one waits for the replies, so that the orders arrive before those to resume.
-func (c *primaryChange) keepPaused(ctx context.Context, promoted bbrtype.MemberName) (stop func()) {
-	ctx, cancel := context.WithCancel(ctx)
-	var pauses errgroup.Group
-	for _, m := range c.barrier {
-		if m.ID == promoted || !bbrsuccession.IsPaused(m, c.pauseTerm) {
-			continue
-		}
-		pauses.Go(func() error {
-			for bbrtype.Sleep(ctx, pauseAgainInterval); ctx.Err() == nil; bbrtype.Sleep(ctx, pauseAgainInterval) {
-				c.pauseOnceMore(ctx, m)
-			}
-			return nil
-		})
-	}
-	return func() {
-		cancel()
-		_ = pauses.Wait()
-	}
-}
-
-// pauseOnceMore orders a replica to pause replication again, and logs if it has received
-// commits since the barrier.
-func (c *primaryChange) pauseOnceMore(ctx context.Context, m bbrsuccession.Candidate) {
-	status, err := c.group.PauseReplication(ctx, m.ID, c.pauseTerm)
-	if err == nil && m.Status.Received.IsBefore(status.Received) {
-		c.log.WithFields(logrus.Fields{"member": m.ID, "received": status.Received, "atBarrier": m.Status.Received}).Warn("a paused replica has received commits, and was ordered to pause again")
-	}
-}
-
 // completeChange puts the new primary into use and writes it to the group's record,
 // with retries until the write succeeds, another change has begun, the store was restored
 // or ctx ends. After a successful write it resumes replication.
@@ -494,80 +394,6 @@
 	return nil
 }
 
-// recordAfterOrders returns the record without the orders that can no longer take effect.
-func (c *primaryChange) recordAfterOrders() bbrsuccession.Record {
-	if c.mayBePromoted {
-		r := c.known.Record
-		r.Orders = c.known.PendingOrders(c.node.clock.Now())
-		return r
-	}
-	return bbrsuccession.WithoutOrders(c.known, c.fence, c.node.clock.Now())
-}
-
-// resumeReplication resumes replication at the replicas and orders the old primary
-// to step down, so that it follows the new primary.
-func (c *primaryChange) resumeReplication(ctx context.Context, choice bbrsuccession.Choice) {
-	c.resumeReplicas(ctx, choice.Member, func(ctx context.Context, id bbrtype.MemberName) (bbrmessage.MemberStatus, error) {
-		if id != c.oldPrimary.Member || choice.Term <= c.oldPrimary.Term {
-			return c.resume(ctx, id)
-		}
-		status, err := c.group.StepDown(ctx, id, choice.Term)
-		if err == nil && status.PausedTerm > 0 {
-			return c.resume(ctx, id)
-		}
-		return status, err
-	}, func() bool { return true })
-}
-
-// resumeReplicas calls resume for all members but the primary. While the promotion of a
-// replica may still take effect, the other replicas stay paused until that one has resumed:
-// what they confirm before would be lost by the promotion. They also stay paused if mayGoOn
-// returns false by then.
-func (c *primaryChange) resumeReplicas(ctx context.Context, primary bbrtype.MemberName, resume func(context.Context, bbrtype.MemberName) (bbrmessage.MemberStatus, error), mayGoOn func() bool) {
-	ordered := c.orderedReplicas(primary)
-	var first errgroup.Group
-	for _, id := range ordered {
-		first.Go(func() error {
-			_, err := resume(ctx, id)
-			return errors.Wrapf(err, "member %s", id)
-		})
-	}
-	err := first.Wait()
-	if err != nil {
-		c.log.WithError(err).WithField("orders", c.known.Record.Orders).Warn("replicas stay paused: one whose promotion may take effect has not resumed")
-	}
-	stayPaused := err != nil || !mayGoOn()
-	c.node.callMembers(ctx, c.group, c.oldPrimary.Member, func(ctx context.Context, id bbrtype.MemberName) (bbrmessage.MemberStatus, error) {
-		if id == primary || slices.Contains(ordered, id) || stayPaused && id != c.oldPrimary.Member {
-			return bbrmessage.MemberStatus{}, nil
-		}
-		return resume(ctx, id)
-	})
-}
-
-// orderedReplicas returns the replicas that possibly run and whose promotion may still take
-// effect.
-func (c *primaryChange) orderedReplicas(primary bbrtype.MemberName) []bbrtype.MemberName {
-	running := c.group.PossiblyRunningMembers()
-	var ordered []bbrtype.MemberName
-	for _, o := range c.recordAfterOrders().Orders {
-		isReplica := o.Member != primary && o.Member != c.oldPrimary.Member
-		if isReplica && slices.Contains(running, o.Member) && !slices.Contains(ordered, o.Member) {
-			ordered = append(ordered, o.Member)
-		}
-	}
-	return ordered
-}
-
-// resume resumes replication at a replica.
-func (c *primaryChange) resume(ctx context.Context, id bbrtype.MemberName) (bbrmessage.MemberStatus, error) {
-	status, err := c.group.ResumeReplication(ctx, id)
-	if err != nil {
-		c.log.WithField("member", id).WithError(err).Info("replication not resumed at a replica, which may stay paused")
-	}
-	return status, err
-}
-
 // abort resumes replication at the replicas and releases the claim. If the claim has
 // expired, it does nothing: another change may rely on the paused replication.
 func (c *primaryChange) abort(ctx context.Context) {
