--- a/bbrcatalog/catalog.go
+++ b/bbrcatalog/catalog.go
@@ -50,6 +50,8 @@
 	MaxStaleness time.Duration
 	// Priority is the priority of queued statements. 0 is the highest.
 	Priority int
+	// Public is set if callers need no key for the route.
+	Public bool
 }
 
 // GroupSettings holds the operator's settings of a database group.
@@ -71,6 +73,10 @@
 	Groups map[bbrtype.GroupName]GroupSettings
 	// IdleTransactionTimeout is the timeout of idle transactions, 0 for none.
 	IdleTransactionTimeout time.Duration
+	// Tenants holds the tenants by name, and Keys the holder of each key. Both are empty
+	// where callers are not identified.
+	Tenants map[bbrtype.TenantName]Tenant
+	Keys    map[KeyDigest]bbrtype.TenantName
 }
 
 // Holder publishes the newest catalogue. It is safe for concurrent use. The zero value
--- a/bbrplace/queue.go
+++ b/bbrplace/queue.go
@@ -33,6 +33,9 @@
 	OnlyMember bbrtype.MemberName
 	// Priority orders the queue; lower values are granted first.
 	Priority int
+	// Tenant is the tenant on whose connections the statement runs, empty where callers
+	// are not identified.
+	Tenant bbrtype.TenantName
 	// Deadline is the end of the time in the queue. It is not enforced here: the owner
 	// of the statement calls Remove. A new statement that can't be answered by then is
 	// rejected under overload.
--- a/bbrplace/scheduler.go
+++ b/bbrplace/scheduler.go
@@ -105,6 +105,8 @@
 	// openConns is the number of connections of this instance to the member, unused
 	// ones included.
 	openConns int
+	// idleConns is the number of unused connections of each tenant.
+	idleConns map[bbrtype.TenantName]int
 	// latency is the moving average of the time to a reply.
 	latency time.Duration
 	// appliedPosition is the latest log position in a reply of the member.
@@ -246,12 +248,21 @@
 	if !m.SameDataCentre {
 		cost += remotePenalty
 	}
-	if m.openConns <= m.inFlight+m.idleInTransaction {
+	if !m.hasConnection(r) {
 		cost += connectPenalty
 	}
 	return cost
 }
 
+// hasConnection reports whether an unused connection to the member is open on which a
+// statement may run.
+func (m *memberState) hasConnection(r *Requirements) bool {
+	if r.Tenant != "" {
+		return m.idleConns[r.Tenant] > 0
+	}
+	return m.openConns > m.inFlight+m.idleInTransaction
+}
+
 // SetOpenConnections sets the number of open connections of this instance to a
 // member, unused ones included.
 func (s *Scheduler) SetOpenConnections(id bbrtype.MemberName, n int) {
@@ -260,6 +271,23 @@
 	}
 }
 
+// SetIdleConnections sets the number of unused connections to a member on which the
+// statements of a tenant may run.
+func (s *Scheduler) SetIdleConnections(id bbrtype.MemberName, tenant bbrtype.TenantName, n int) {
+	m := s.members[id]
+	if m == nil {
+		return
+	}
+	if n <= 0 {
+		delete(m.idleConns, tenant)
+		return
+	}
+	if m.idleConns == nil {
+		m.idleConns = map[bbrtype.TenantName]int{}
+	}
+	m.idleConns[tenant] = n
+}
+
 // ReplyTimeout returns the reply timeout of a member: the time after which a reply
 // counts as lost. The timeout grows with the member's latency, so that a slow or
 // loaded member gets more time.
--- a/bbrsession/server.go
+++ b/bbrsession/server.go
@@ -57,6 +57,14 @@
 	RecordPhases(policy bbrcatalog.ReadPolicy, p Phases)
 }
 
+// Limiter limits the operations of tenants over all instances.
+type Limiter interface {
+	// Admit counts an operation of a tenant that is about to begin. If the tenant has
+	// reached its limit, it returns false and the time after which the operation may
+	// begin.
+	Admit(ctx context.Context, tenant bbrtype.TenantName) (ok bool, retryAfter time.Duration)
+}
+
 // Deps are the dependencies of a server.
 type Deps struct {
 	Catalog *bbrcatalog.Holder
@@ -69,6 +77,8 @@
 	// Forward forwards statements to the instances that hold connections. With nil all
 	// statements are served here.
 	Forward Forwarder
+	// Limiter limits the operations of tenants. With nil they are not limited.
+	Limiter Limiter
 }
 
 // Server serves callers and tracks their open sessions.
