Limits of tenants: owners in each data centre hold token buckets, instances take tokens from them

Cause: a tenant's rate and burst bind over all instances, and nothing limited them. Change: bbrlimit decides (buckets of owners, tokens with a lifetime), bbrallowance carries requests for tokens, the instance attaches them as bbrsession.Limiter.

--- /dev/null
+++ b/bbrlimit/owner.go
@@ -0,0 +1,126 @@
+package bbrlimit
+
+import (
+	"time"
+
+	"github.com/bluebellroute/bluebellroute/bbrtype"
+)
+
+const (
+	// shortLevel is the part of a bucket's capacity below which an owner takes tokens
+	// from the other owners.
+	shortLevel = 0.25
+	// balanceInterval is the least interval between two attempts of an owner to take
+	// tokens of a tenant from the other owners. It is exhaustedInterval if they had
+	// none.
+	balanceInterval   = 20 * time.Millisecond
+	exhaustedInterval = 250 * time.Millisecond
+	// nearLimit is how long after a rejection a tenant counts as near its limit.
+	nearLimit = 5 * time.Second
+)
+
+// Owner holds the buckets of the tenants that an instance owns. Buckets are made when they
+// are first used. Set StartedAt before the first use.
+type Owner struct {
+	// StartedAt is when the instance became an owner of the tenants that have no bucket
+	// yet.
+	StartedAt bbrtype.Mono
+	buckets   map[bbrtype.TenantName]*ownedBucket
+}
+
+// ownedBucket is a bucket with the state of its balance with the other owners.
+type ownedBucket struct {
+	*Bucket
+	limit  Limit
+	owners int
+	// balanceAt is when tokens may next be taken from the other owners.
+	balanceAt bbrtype.Mono
+	// rejectedAt is when an operation was last rejected, 0 if never.
+	rejectedAt bbrtype.Mono
+}
+
+// bucket returns the bucket of a tenant under its current limit.
+func (o *Owner) bucket(now bbrtype.Mono, tenant bbrtype.TenantName, l Limit, owners int) *ownedBucket {
+	owners = max(1, owners)
+	b := o.buckets[tenant]
+	if b == nil {
+		if o.buckets == nil {
+			o.buckets = map[bbrtype.TenantName]*ownedBucket{}
+		}
+		b = &ownedBucket{Bucket: newBucket(l, owners, o.StartedAt), limit: l, owners: owners}
+		o.buckets[tenant] = b
+	}
+	if b.limit != l || b.owners != owners {
+		b.setLimit(now, l, owners)
+		b.limit, b.owners = l, owners
+	}
+	return b
+}
+
+// Take grants tokens of a tenant to an instance. owners is the number of the tenant's
+// owners.
+func (o *Owner) Take(now bbrtype.Mono, tenant bbrtype.TenantName, l Limit, owners int, r Request) Grant {
+	b := o.bucket(now, tenant, l, owners)
+	grant := b.take(now, r)
+	if grant.Tokens < r.Needed {
+		b.rejectedAt = now
+	}
+	return grant
+}
+
+// Give grants tokens of a tenant to another owner.
+func (o *Owner) Give(now bbrtype.Mono, tenant bbrtype.TenantName, l Limit, owners, wanted int) Grant {
+	return o.bucket(now, tenant, l, owners).give(now, wanted)
+}
+
+// Shortage returns how many tokens of a tenant are to be taken from the other owners now, and
+// whether they are needed to grant a number of tokens. It counts on it that the caller does
+// so and calls Receive.
+func (o *Owner) Shortage(now bbrtype.Mono, tenant bbrtype.TenantName, l Limit, owners, needed int) (wanted int, urgent bool) {
+	b := o.bucket(now, tenant, l, owners)
+	if b.owners < 2 || now < b.balanceAt {
+		return 0, false
+	}
+	wanted, urgent = b.shortage(now, needed)
+	if wanted > 0 {
+		b.balanceAt = now.Add(exhaustedInterval)
+	}
+	return wanted, urgent
+}
+
+// Receive adds tokens of other owners.
+func (o *Owner) Receive(now bbrtype.Mono, tenant bbrtype.TenantName, tokens int) {
+	b := o.buckets[tenant]
+	if b == nil || tokens <= 0 {
+		return
+	}
+	b.receive(now, tokens)
+	b.balanceAt = now.Add(balanceInterval)
+}
+
+// Retain forgets the buckets of the tenants that are not kept.
+func (o *Owner) Retain(keep func(bbrtype.TenantName) bool) {
+	for tenant := range o.buckets {
+		if !keep(tenant) {
+			delete(o.buckets, tenant)
+		}
+	}
+}
+
+// CountNearLimit returns the number of owned tenants of which operations were rejected
+// recently.
+func (o *Owner) CountNearLimit(now bbrtype.Mono) int {
+	count := 0
+	for tenant := range o.buckets {
+		if o.IsNearLimit(now, tenant) {
+			count++
+		}
+	}
+	return count
+}
+
+// IsNearLimit reports whether operations of an owned tenant were rejected recently.
+func (o *Owner) IsNearLimit(now bbrtype.Mono, tenant bbrtype.TenantName) bool {
+	b := o.buckets[tenant]
+	return b != nil && b.rejectedAt != 0 && now.Sub(b.rejectedAt) < nearLimit
+}
--- a/bbrnode/node.go
+++ b/bbrnode/node.go
@@ -104,6 +104,7 @@
 	forwardClient    *bbrforward.Client
 	// forwardRequests are the requests by which other instances forward statements.
 	forwardRequests requestCounter
+	limiter         *limiter
 	// fleet is this instance and the others that the store lists.
 	fleet atomic.Pointer[fleetView]
 
@@ -170,10 +171,11 @@
 	}
 	n.setFleet(nil)
 	n.eraCtx, n.endEra = context.WithCancel(context.Background())
+	n.limiter = newLimiter(n)
 	n.sessions = bbrsession.New(bbrsession.Deps{
-		Catalog: &n.catalog, GroupByName: n.group, Clock: n.clock, Log: log, Tasks: n.background, Recorder: n.metrics, Forward: n,
+		Catalog: &n.catalog, GroupByName: n.group, Clock: n.clock, Log: log, Tasks: n.background, Recorder: n.metrics, Forward: n, Limiter: n.limiter,
 	})
-	m.registry.MustRegister(collector{n})
+	m.registry.MustRegister(collector{n}, n.limiter)
 	for _, t := range n.followedTables() {
 		m.storeCalls.WithLabelValues(string(callWatch), t.name, string(outcomeDone))
 		m.ignoredRows.WithLabelValues(t.name) // shown as 0 until a row is ignored
--- a/bbrnode/run.go
+++ b/bbrnode/run.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/bluebellroute/bluebellroute/bbrallowance"
 	"github.com/bluebellroute/bluebellroute/bbrforward"
 	"github.com/bluebellroute/bluebellroute/bbrshare"
 	"github.com/bluebellroute/bluebellroute/bbrtype"
@@ -114,6 +115,7 @@
 	if n.settings.PeerAddress != "" {
 		peers := http.NewServeMux()
 		peers.Handle(bbrforward.PathPrefix, n.forwardRequests.count(bbrforward.Handler(n.runForwarded, n.sessions.IsForwardedStopped)))
+		peers.Handle(bbrallowance.PathPrefix, bbrallowance.Handler(n.limiter.grant))
 		peers.Handle("/", bbrshare.Handler(n.servePull))
 		handlers[n.settings.PeerAddress] = peers
 	}
