Keys: identify callers by the tenants' keys, and run their statements on connections of their tenant

Change: the document's tenants, keys and public routes are decoded; a caller without a known key is told NOAUTH; a key taken away ends the open transaction; a connection belongs to the tenant that was named when it was opened, and one of another tenant gives way to it (bbreviction). In tests, Startup.Caller is renamed to Key, with the same values.

--- a/bbrcatalog/catalog.go
+++ b/bbrcatalog/catalog.go
@@ -73,7 +73,7 @@
 	Groups map[bbrtype.GroupName]GroupSettings
 	// IdleTransactionTimeout is the timeout of idle transactions, 0 for none.
 	IdleTransactionTimeout time.Duration
-	// Tenants holds the tenants by name, and Keys the holder of each key. Both are empty
+	// Tenants holds the tenants by name, and Keys the holder of each key. Tenants is nil
 	// where callers are not identified.
 	Tenants map[bbrtype.TenantName]Tenant
 	Keys    map[KeyDigest]bbrtype.TenantName
--- a/bbrcatalog/tenant.go
+++ b/bbrcatalog/tenant.go
@@ -33,11 +33,15 @@
 func (t Tenant) IsLimited() bool { return t.RatePerSecond > 0 }
 
 // HasTenants reports whether callers are identified by keys. Without tenants everyone may
-// use every route.
-func (c *Catalogue) HasTenants() bool { return len(c.Tenants) > 0 }
+// use every route; with an empty list of tenants nobody may, except for public routes.
+func (c *Catalogue) HasTenants() bool { return c.Tenants != nil }
 
 // TenantOf returns the tenant that holds a key.
 func (c *Catalogue) TenantOf(key KeyDigest) (bbrtype.TenantName, bool) {
 	name, ok := c.Keys[key]
 	return name, ok
 }
+
+// GuestTenant is the name under which callers without a known key use public routes. No
+// tenant has this name.
+const GuestTenant bbrtype.TenantName = "-"
--- a/bbrforward/codec.go
+++ b/bbrforward/codec.go
@@ -63,7 +63,7 @@
 		RequestId: []byte(s.ID), Text: []byte(s.Text), Operation: string(operationName(s.Op)), Route: encodeRoute(s.Route),
 		ArrivedAgoUs: s.ArrivedAgo.Microseconds(), BegunAgoUs: s.BegunAgo.Microseconds(),
 		LastWrite: encodePosition(s.LastWrite), Values: encodeValues(s.Values),
-		InTransaction: s.InTransaction, ReadOnly: s.ReadOnly, Transaction: string(s.Transaction), LastResort: s.LastResort,
+		InTransaction: s.InTransaction, ReadOnly: s.ReadOnly, Transaction: string(s.Transaction), LastResort: s.LastResort, Tenant: []byte(s.Tenant),
 	}
 	if x, ok := s.Op.(bbrmessage.Execute); ok {
 		r.ExecuteName, r.ExecuteArguments = []byte(x.Name), []byte(x.Arguments)
@@ -84,6 +84,7 @@
 		ArrivedAgo: microseconds(r.GetArrivedAgoUs()), BegunAgo: microseconds(r.GetBegunAgoUs()),
 		LastWrite: decodePosition(r.GetLastWrite()), Values: decodeValues(r.GetValues()),
 		InTransaction: r.GetInTransaction(), ReadOnly: r.GetReadOnly(), Transaction: TransactionID(r.GetTransaction()), LastResort: r.GetLastResort(),
+		Tenant: bbrtype.TenantName(r.GetTenant()),
 	}
 	if s.Route, err = decodeRoute(r.GetRoute()); err != nil {
 		return Statement{}, err
--- a/bbrforward/forward.go
+++ b/bbrforward/forward.go
@@ -27,6 +27,7 @@
 	"github.com/bluebellroute/bluebellroute/bbrecho"
 	"github.com/bluebellroute/bluebellroute/bbrforward/forwardpb"
 	"github.com/bluebellroute/bluebellroute/bbrmessage"
+	"github.com/bluebellroute/bluebellroute/bbrtype"
 )
 
 // TransactionID names an open transaction at the instance that holds its connection.
@@ -37,6 +38,9 @@
 	bbrmessage.Statement
 	// Route is the route by which the forwarding instance serves the statement.
 	Route bbrcatalog.Route
+	// Tenant is the tenant on whose connections the statement runs, empty where callers
+	// are not identified.
+	Tenant bbrtype.TenantName
 	// ArrivedAgo is how long before sending the statement arrived. BegunAgo is the same
 	// for the begin of its transaction, or for the statement if it is in none.
 	ArrivedAgo, BegunAgo time.Duration
--- a/bbrlink/conn.go
+++ b/bbrlink/conn.go
@@ -16,6 +16,9 @@
 	group  *Group
 	member bbrdirectory.Member
 	conn   bbrmessage.MemberConn
+	// tenant is the tenant that was named when the connection was opened. Only its
+	// statements run on the connection.
+	tenant bbrtype.TenantName
 	// values and prepared are the session values and prepared statements that the
 	// member has stored for this connection.
 	values   map[string]string
--- a/bbrlink/group.go
+++ b/bbrlink/group.go
@@ -38,6 +38,7 @@
 
 	"github.com/bluebellroute/bluebellroute/bbrcatalog"
 	"github.com/bluebellroute/bluebellroute/bbrdirectory"
+	"github.com/bluebellroute/bluebellroute/bbreviction"
 	"github.com/bluebellroute/bluebellroute/bbrholder"
 	"github.com/bluebellroute/bluebellroute/bbrmessage"
 	"github.com/bluebellroute/bluebellroute/bbrplace"
@@ -49,9 +50,14 @@
 // member.
 type Dialer func(ctx context.Context, m bbrdirectory.Member) (bbrmessage.MemberConn, error)
 
+// TenantDialer opens a connection to a member on which statements of a tenant run.
+type TenantDialer func(ctx context.Context, m bbrdirectory.Member, tenant bbrtype.TenantName) (bbrmessage.MemberConn, error)
+
 // Deps are the dependencies of a group. All groups of an instance share them.
 type Deps struct {
-	Dial       Dialer
+	Dial Dialer
+	// DialTenant opens the connections of tenants. With nil there are no tenants.
+	DialTenant TenantDialer
 	Clock      *bbrtype.Clock
 	Log        logrus.FieldLogger
 	Tasks      *errgroup.Group
@@ -111,8 +117,11 @@
 	// them.
 	expired []bbrdirectory.Member
 	idle    map[bbrtype.MemberName][]*Conn
-	// open counts the connections to each member, in use or idle.
-	open   map[bbrtype.MemberName]int
+	// open counts the connections to each member, in use or idle, and dialing those that
+	// are being opened.
+	open, dialing map[bbrtype.MemberName]int
+	// usage is how often each tenant needs a connection.
+	usage  bbreviction.Usage
 	dials  DialCounts
 	strays map[StrayKind]uint64
 	// reached is the newest log position that each member's replies have shown.
@@ -178,6 +187,7 @@
 		replied:       map[bbrtype.MemberName]bool{},
 		idle:          map[bbrtype.MemberName][]*Conn{},
 		open:          map[bbrtype.MemberName]int{},
+		dialing:       map[bbrtype.MemberName]int{},
 		health:        map[bbrtype.MemberName]memberHealth{},
 		inFlight:      map[bbrtype.MemberName]map[bbrtype.Mono]int{},
 		received:      map[bbrtype.MemberName]bbrmessage.LogPosition{},
@@ -366,8 +376,9 @@
 // DialCounts counts the attempts to open a connection to a member of a group.
 type DialCounts struct {
 	// Opened counts the connections that were opened, Refused those that a member
-	// refused because it had reached its limit, and Failed all other failures.
-	Opened, Refused, Failed uint64
+	// refused because it had reached its limit, and Failed all other failures. Evicted
+	// counts the unused connections that were closed to open one of another tenant.
+	Opened, Refused, Failed, Evicted uint64
 }
 
 // Dials returns the counts of attempts to open a connection since the group was created.
--- a/bbrlink/pool.go
+++ b/bbrlink/pool.go
@@ -62,7 +62,7 @@
 	g.mu.Unlock()
 	select {
 	case id := <-granted:
-		return g.connect(ctx, id)
+		return g.connectFor(ctx, id, req.Tenant)
 	case reason := <-rejected:
 		return nil, rejectError(reason)
 	default:
@@ -71,7 +71,7 @@
 	defer timer.Stop()
 	select {
 	case id := <-granted:
-		return g.connect(ctx, id)
+		return g.connectFor(ctx, id, req.Tenant)
 	case reason := <-rejected:
 		return nil, rejectError(reason)
 	case <-timer.C:
@@ -111,30 +111,46 @@
 	g.scheduler.Release(id, g.Clock.Now())
 }
 
-// connect returns an idle connection to a member or opens a new one. On an error the
-// slot at the member is released.
+// connect returns an idle connection to a member or opens a new one, for statements that
+// the instance issues itself. On an error the slot at the member is released.
 func (g *Group) connect(ctx context.Context, id bbrtype.MemberName) (*Conn, error) {
+	return g.connectFor(ctx, id, "")
+}
+
+// connectNew opens a connection for statements that the instance issues itself. On an
+// error the slot at the member is released.
+func (g *Group) connectNew(ctx context.Context, id bbrtype.MemberName) (*Conn, error) {
+	return g.connectNewFor(ctx, id, "")
+}
+
+// connectFor returns an idle connection of a tenant to a member or opens a new one. On an
+// error the slot at the member is released.
+func (g *Group) connectFor(ctx context.Context, id bbrtype.MemberName, tenant bbrtype.TenantName) (*Conn, error) {
 	g.mu.Lock()
-	if conns := g.idle[id]; len(conns) > 0 {
-		c := conns[len(conns)-1]
-		g.idle[id] = conns[:len(conns)-1]
-		g.mu.Unlock()
+	g.usage.Record(tenant, g.Clock.Now())
+	c := g.takeIdle(id, tenant)
+	g.mu.Unlock()
+	if c != nil {
 		return c, nil
 	}
-	g.mu.Unlock()
-	return g.connectNew(ctx, id)
+	return g.connectNewFor(ctx, id, tenant)
 }
 
-// connectNew opens a connection to a member. On an error the slot at the member is released.
-func (g *Group) connectNew(ctx context.Context, id bbrtype.MemberName) (*Conn, error) {
+// connectNewFor opens a connection of a tenant to a member. On an error the slot at the
+// member is released.
+func (g *Group) connectNewFor(ctx context.Context, id bbrtype.MemberName, tenant bbrtype.TenantName) (*Conn, error) {
 	g.mu.Lock()
 	m, ok := g.members[id]
+	if ok {
+		g.makeRoom(m, tenant)
+		g.dialing[id]++
+	}
 	g.mu.Unlock()
 	if !ok {
 		g.releaseSlot(id)
 		return nil, &ConnectError{Member: id, err: ErrNotAMember}
 	}
-	c, err := g.dial(ctx, m)
+	c, err := g.dial(ctx, m, tenant)
 	if err != nil {
 		g.mu.Lock()
 		defer g.mu.Unlock()
@@ -163,7 +179,7 @@
 		g.mu.Unlock()
 		return c, nil
 	}
-	i := slices.IndexFunc(g.idle[id], func(o *Conn) bool { return !o.doubtsFailure(newest) })
+	i := slices.IndexFunc(g.idle[id], func(o *Conn) bool { return o.tenant == c.tenant && !o.doubtsFailure(newest) })
 	if i >= 0 {
 		defer g.mu.Unlock()
 		other := g.idle[id][i]
@@ -173,24 +189,25 @@
 	}
 	g.closeConn(c)
 	g.mu.Unlock()
-	return g.connectNew(ctx, id)
+	return g.connectNewFor(ctx, id, c.tenant)
 }
 
-// dial opens a connection to a member.
-func (g *Group) dial(ctx context.Context, m bbrdirectory.Member) (*Conn, error) {
+// dial opens a connection of a tenant to a member.
+func (g *Group) dial(ctx context.Context, m bbrdirectory.Member, tenant bbrtype.TenantName) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	startedAt := g.Clock.Now()
-	conn, err := g.Dial(ctx, m)
+	conn, err := g.dialAs(ctx, m, tenant)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.dialing[m.ID]--
 	if err != nil {
 		return nil, err
 	}
-	g.mu.Lock()
 	g.open[m.ID]++
 	g.dials.Opened++
 	g.scheduler.SetOpenConnections(m.ID, g.open[m.ID])
-	g.mu.Unlock()
-	return &Conn{group: g, member: m, conn: conn, dialTime: g.Clock.Now().Sub(startedAt)}, nil
+	return &Conn{group: g, member: m, conn: conn, tenant: tenant, dialTime: g.Clock.Now().Sub(startedAt)}, nil
 }
 
 // ConnectError reports that no connection to a member could be opened. No statement
@@ -256,7 +273,7 @@
 		g.closeConn(c)
 	} else {
 		c.idleSince, c.dialTime = now, 0
-		g.idle[id] = append(g.idle[id], c)
+		g.addIdle(c)
 	}
 	g.scheduler.Release(id, now)
 }
@@ -314,10 +331,12 @@
 
 // closeIdleTo closes the idle connections to a member. The caller holds mu.
 func (g *Group) closeIdleTo(id bbrtype.MemberName) {
-	for _, c := range g.idle[id] {
+	conns := g.idle[id]
+	delete(g.idle, id)
+	for _, c := range conns {
 		g.closeConn(c)
+		g.countIdle(id, c.tenant)
 	}
-	delete(g.idle, id)
 }
 
 // closeConn closes a connection. The caller holds mu.
@@ -332,27 +351,36 @@
 }
 
 // CloseStale closes connections after their idle timeout: burstIdleTimeout beyond the
-// instance's share, else idleTimeout. One connection to each member stays open unless
-// other instances hold the connections.
+// instance's share, tenantIdleTimeout for those of a tenant, else idleTimeout. One connection
+// to each member stays open unless other instances hold the connections.
 func (g *Group) CloseStale() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Clock.Now()
 	for id, conns := range g.idle {
 		share := g.shareIn(g.members[id])
-		keep, timeout := 1, idleTimeout
-		if !share.KeepsIdle {
-			keep, timeout = 0, unsharedIdleTimeout
+		keep := 0
+		if share.KeepsIdle {
+			keep = 1
 		}
-		for len(conns) > 0 && g.open[id] > share.Connections && now.Sub(conns[0].idleSince) > burstIdleTimeout {
-			g.closeConn(conns[0])
-			conns = conns[1:]
+		kept := conns[:0]
+		var closed []bbrtype.TenantName
+		for i, c := range conns {
+			idleTime := now.Sub(c.idleSince)
+			isBeyondShare := g.open[id] > share.Connections && idleTime > burstIdleTimeout
+			left := len(kept) + len(conns) - i
+			if isBeyondShare || left > keep && idleTime > c.idleTimeout(share) {
+				g.closeConn(c)
+				closed = append(closed, c.tenant)
+				continue
+			}
+			kept = append(kept, c)
 		}
-		for len(conns) > keep && now.Sub(conns[0].idleSince) > timeout {
-			g.closeConn(conns[0])
-			conns = conns[1:]
+		clear(conns[len(kept):])
+		g.idle[id] = kept
+		for _, tenant := range closed {
+			g.countIdle(id, tenant)
 		}
-		g.idle[id] = conns
 	}
 }
 
--- a/bbrmessage/message.go
+++ b/bbrmessage/message.go
@@ -66,7 +66,9 @@
 	// Database is the database name that the caller connects to. The
 	// instance looks up the route by this name.
 	Database string
-	Caller   bbrtype.CallerName
+	// Key identifies the caller where tenants are configured. It is a secret: it is
+	// neither logged nor sent on.
+	Key string
 }
 
 // Statement requests one operation.
@@ -178,6 +180,8 @@
 	ClassNoPreparedStatement FailureClass = "noStatement"
 	// ClassNoDatabase means that no route has the database name; nothing was run.
 	ClassNoDatabase FailureClass = "noDatabase"
+	// ClassUnknownKey means that no tenant holds the caller's key; nothing was run.
+	ClassUnknownKey FailureClass = "unknownKey"
 	// ClassTooLarge means that a message exceeds the maximum length and was rejected.
 	ClassTooLarge FailureClass = "tooBig"
 	// ClassMalformed means that a message was rejected because it can't be parsed or is
--- a/bbrnode/collector.go
+++ b/bbrnode/collector.go
@@ -65,7 +65,7 @@
 		gauge(waitingDesc, float64(waiting), name)
 		gauge(connectionsDesc, float64(connections), name)
 		dials := g.Dials()
-		for result, count := range map[string]uint64{"opened": dials.Opened, "refused": dials.Refused, "failed": dials.Failed} {
+		for result, count := range map[string]uint64{"opened": dials.Opened, "refused": dials.Refused, "failed": dials.Failed, "evicted": dials.Evicted} {
 			out <- prometheus.MustNewConstMetric(dialsDesc, prometheus.CounterValue, float64(count), name, result)
 		}
 		for kind, count := range g.Strays() {
--- a/bbrnode/node.go
+++ b/bbrnode/node.go
@@ -76,6 +76,7 @@
 	Promoter      Promoter
 	NewCallerConn func(net.Conn) bbrmessage.CallerConn
 	DialMember    bbrlink.Dialer
+	DialTenant    bbrlink.TenantDialer
 	// ConfigureCallerConn sets options of a caller's connection by which the loss of
 	// an idle connection is detected.
 	ConfigureCallerConn func(net.Conn)
@@ -291,7 +292,7 @@
 				continue
 			}
 			g = bbrlink.NewGroup(name, bbrlink.Deps{
-				Dial: n.platform.DialMember, Clock: n.clock, Log: n.log, Tasks: n.background,
+				Dial: n.platform.DialMember, DialTenant: n.platform.DialTenant, Clock: n.clock, Log: n.log, Tasks: n.background,
 				DataCentre: n.settings.DataCentre, DrainTimeout: n.settings.DrainTimeout, Share: n.share, MayHaveConfirmed: n.mayHaveConfirmed, SeenMembers: n.seenMembers, IsChanging: n.isChanging, OrderedMembers: n.orderedMembers,
 				RecordsReadAt:  n.recordsReadAt,
 				ProveFromStore: n.proveFromStore, FetchPeerProofs: n.fetchPeerProofs,
--- a/bbrsession/forward.go
+++ b/bbrsession/forward.go
@@ -91,7 +91,7 @@
 func (sess *session) newForwarded(st bbrmessage.Statement, route bbrcatalog.Route, arrivedAt bbrtype.Mono) *forwarded {
 	f := &forwarded{
 		sess: sess, route: route, arrivedAt: arrivedAt, begunAt: arrivedAt, deadline: sess.server.deadline(route, arrivedAt),
-		statement: bbrforward.Statement{Statement: st, Route: route, Values: sess.state.Values, Prepared: sess.state.Prepared},
+		statement: bbrforward.Statement{Statement: st, Route: route, Tenant: sess.tenant, Values: sess.state.Values, Prepared: sess.state.Prepared},
 	}
 	if tx := sess.tx; tx != nil {
 		f.begunAt = tx.arrivedAt
--- a/bbrsession/guest.go
+++ b/bbrsession/guest.go
@@ -125,7 +125,7 @@
 		return bbrforward.Result{Declined: "the primary does not respond to this instance"}
 	}
 	now := s.Clock.Now()
-	sess := &session{server: s, database: st.Route.Database}
+	sess := &session{server: s, database: st.Route.Database, tenant: st.Tenant}
 	sess.state = stateOf(st)
 	sess.lastWritePosition = st.LastWrite
 	arrivedAt := now.Add(-st.ArrivedAgo)
--- a/bbrsession/server.go
+++ b/bbrsession/server.go
@@ -203,12 +203,18 @@
 		return false
 	}
 	s.awaitCatalog(ctx)
-	sess.database = startup.Database
-	if _, ok := s.Catalog.Route(startup.Database); !ok {
+	sess.database, sess.key = startup.Database, bbrcatalog.DigestKey(startup.Key)
+	route, ok := s.Catalog.Route(startup.Database)
+	if !ok {
 		s.Log.WithFields(logrus.Fields{"database": startup.Database, "version": s.configVersion()}).Info("startup rejected: no route for the requested database")
 		_ = sess.caller.Send(bbrmessage.Reply{Failure: noDatabaseFailure(startup.Database)})
 		return false
 	}
+	if failure := sess.identify(route); failure != nil {
+		s.logUnknownKey(route)
+		_ = sess.caller.Send(bbrmessage.Reply{Failure: failure})
+		return false
+	}
 	return sess.caller.Send(bbrmessage.Reply{State: bbrmessage.StateIdle}) == nil
 }
 
--- a/bbrsession/session.go
+++ b/bbrsession/session.go
@@ -22,7 +22,11 @@
 	server   *Server
 	caller   bbrmessage.CallerConn
 	database string
-	state    bbrlink.SessionState
+	// key is the digest of the caller's key.
+	key bbrcatalog.KeyDigest
+	// tenant is the tenant for which the operation in progress runs.
+	tenant bbrtype.TenantName
+	state  bbrlink.SessionState
 	// lastWritePosition is the newest log position of the session's own commits.
 	lastWritePosition bbrmessage.LogPosition
 	tx                *transaction
@@ -201,6 +205,9 @@
 	if sess.server.ending.Load() && startsWork(st.Op) {
 		return sess.rejectAtStop(st.Op)
 	}
+	if sess.tx != nil && startsWork(st.Op) && !sess.keepsTenant() {
+		return sess.rejectForKey(st.Op)
+	}
 	switch op := st.Op.(type) {
 	case bbrmessage.Set:
 		return sess.set(op)
@@ -210,7 +217,7 @@
 		delete(sess.state.Prepared, op.Name)
 		return sess.successReply()
 	case bbrmessage.Begin:
-		return sess.begin(op, arrivedAt)
+		return sess.begin(ctx, op, arrivedAt)
 	case bbrmessage.Rollback:
 		if sess.tx == nil {
 			return sess.failureReply(malformedFailure("no transaction is open"))
@@ -335,11 +342,11 @@
 
 // begin opens a transaction. The transaction's first statement acquires the
 // connection.
-func (sess *session) begin(op bbrmessage.Begin, arrivedAt bbrtype.Mono) bbrmessage.Reply {
+func (sess *session) begin(ctx context.Context, op bbrmessage.Begin, arrivedAt bbrtype.Mono) bbrmessage.Reply {
 	if sess.tx != nil {
 		return sess.failureReply(malformedFailure("a transaction is open"))
 	}
-	route, group, failure := sess.resolveRoute()
+	route, group, failure := sess.startOperation(ctx)
 	if failure != nil {
 		return sess.failureReply(failure)
 	}
--- a/bbrsession/statement.go
+++ b/bbrsession/statement.go
@@ -134,7 +134,7 @@
 	if sess.tx != nil {
 		return sess.runInTransaction(ctx, st, access, arrivedAt)
 	}
-	route, group, failure := sess.resolveRoute()
+	route, group, failure := sess.startOperation(ctx)
 	if failure != nil {
 		return sess.failureReply(failure)
 	}
@@ -158,6 +158,7 @@
 	for {
 		req.Exclude = e.exclude
 		req.Priority = e.route.Priority
+		req.Tenant = e.sess.tenant
 		req.Deadline = e.deadline
 		req.SoftDeadline = e.objectiveDeadline()
 		req.LatencyObjective = e.route.LatencyObjective
