--- a/bbrnode/limitowner.go
+++ b/bbrnode/limitowner.go
@@ -44,14 +44,17 @@
 
 // setInstances records a list of instances. If it differs from the one before, the buckets of
 // tenants that this instance no longer owns are forgotten, and those of tenants that it owns
-// from now on are filled from now on. l.mu must be held.
+// from now on are filled from now on. With the first list, they are filled since the instance
+// started. l.mu must be held.
 func (l *limiter) setInstances(fleet *fleetView, instances []bbrlimit.Instance) {
 	if slices.Equal(instances, l.owners.instances) {
 		l.owners.fleet = fleet
 		return
 	}
+	if l.owners.instances != nil {
+		l.owner.StartedAt = l.node.clock.Now()
+	}
 	l.owners = ownerView{fleet: fleet, instances: instances, owners: map[bbrtype.TenantName][]bbrlimit.Instance{}}
-	l.owner.StartedAt = l.node.clock.Now()
 	l.owner.Retain(func(t bbrtype.TenantName) bool {
 		return contains(bbrlimit.Owners(t, l.node.settings.DataCentre, instances), l.self())
 	})
