--- a/bbrsoak/plan.go
+++ b/bbrsoak/plan.go
@@ -74,6 +74,8 @@
 	KindStutter Kind = "stutter"
 	// KindCutAnswers lets a member cut a part of its answers off and close their connections.
 	KindCutAnswers Kind = "cutAnswers"
+	// KindRevoke takes a tenant's key away and gives the tenant another one.
+	KindRevoke Kind = "revoke"
 )
 
 // Kinds are all kinds that both dialects know.
@@ -85,7 +87,7 @@
 // PlatformKinds are the kinds that the users' platform adds. A plan has them only if they
 // are named, so that the plans of known seeds stay as they are.
 var PlatformKinds = []Kind{
-	KindStoreRestored, KindOrdersLate, KindControlsLate, KindPromotionSlow, KindMemberRestart, KindReplicationCut, KindStutter, KindCutAnswers,
+	KindStoreRestored, KindOrdersLate, KindControlsLate, KindPromotionSlow, KindMemberRestart, KindReplicationCut, KindStutter, KindCutAnswers, KindRevoke,
 }
 
 // Fault is one fault of a plan.
--- a/cmd/bbrsoak/main.go
+++ b/cmd/bbrsoak/main.go
@@ -46,6 +46,7 @@
 			&cli.IntFlag{Name: "instances", Value: 3},
 			&cli.IntFlag{Name: "members", Value: 3},
 			&cli.IntFlag{Name: "callers", Value: 12},
+			&cli.IntFlag{Name: "tenants", Usage: "number of tenants; with 0 callers are not identified (" + dialectPlatform + " only)"},
 			&cli.StringSliceFlag{Name: "kind", Usage: "restrict the faults to a kind; may be repeated"},
 			&cli.StringFlag{Name: "logs", Usage: "`FILE` that takes what the instances write"},
 			&cli.BoolFlag{Name: "plan", Usage: "print the plan and end"},
@@ -136,7 +137,7 @@
 	case dialectPlatform:
 		return trial.New(ctx, trial.Options{
 			Program: program("bbrnode"), Instances: cmd.Int("instances"), Members: cmd.Int("members"),
-			Callers: cmd.Int("callers"), Seed: seed, Logs: logs,
+			Callers: cmd.Int("callers"), Tenants: cmd.Int("tenants"), Seed: seed, Logs: logs,
 		})
 	case dialectPostgres:
 		return bbrtrial.NewSoakFleet(ctx, bbrtrial.SoakOptions{
