--- a/bbrlimit/owner.go
+++ b/bbrlimit/owner.go
@@ -10,9 +10,9 @@
 	// shortLevel is the part of a bucket's capacity below which an owner takes tokens
 	// from the other owners.
 	shortLevel = 0.25
-	// balanceInterval is the least interval between two attempts of an owner to take
-	// tokens of a tenant from the other owners. It is exhaustedInterval if they had
-	// none.
+	// balanceInterval is the interval after which an owner tries again to take tokens of
+	// a tenant from the other owners, if they had fewer than it wanted. It is
+	// exhaustedInterval if they had none.
 	balanceInterval   = 20 * time.Millisecond
 	exhaustedInterval = 250 * time.Millisecond
 	// nearLimit is how long after a rejection a tenant counts as near its limit.
@@ -33,8 +33,10 @@
 	*Bucket
 	limit  Limit
 	owners int
-	// balanceAt is when tokens may next be taken from the other owners.
+	// balanceAt is when tokens may next be taken from the other owners, and wanted is how
+	// many were wanted when they were last taken.
 	balanceAt bbrtype.Mono
+	wanted    int
 	// rejectedAt is when an operation was last rejected, 0 if never.
 	rejectedAt bbrtype.Mono
 }
@@ -83,7 +85,7 @@
 	}
 	wanted, urgent = b.shortage(now, needed)
 	if wanted > 0 {
-		b.balanceAt = now.Add(exhaustedInterval)
+		b.balanceAt, b.wanted = now.Add(exhaustedInterval), wanted
 	}
 	return wanted, urgent
 }
@@ -96,6 +98,9 @@
 	}
 	b.receive(now, tokens)
 	b.balanceAt = now.Add(balanceInterval)
+	if tokens >= b.wanted {
+		b.balanceAt = now
+	}
 }
 
 // Retain forgets the buckets of the tenants that are not kept.
