A new owner of a limit takes it over from the instance before

Cause: instances learn of a changed list up to 20 s apart; an added instance that ranks first for a tenant would have granted besides the owner before, a data centre's part of the limit more. Change: before a new owner grants, the three instances that rank after it yield the tenant and hand over the tokens; one that does not run has none, one that does not respond is waited for 3 s. An instance that stops grants nothing. Tests: TestNewOwnerTakesOver and the ones beside it.

--- a/bbrallowance/allowancepb/allowance.twirp.go
+++ b/bbrallowance/allowancepb/allowance.twirp.go
@@ -37,6 +37,9 @@
 type Allowance interface {
 	// Take returns tokens, which the asked instance no longer has.
 	Take(context.Context, *TakeRequest) (*TakeReply, error)
+
+	// Yield ends the ownership of the asked instance, because the asker ranks before it.
+	Yield(context.Context, *YieldRequest) (*YieldReply, error)
 }
 
 // =========================
@@ -45,7 +48,7 @@
 
 type allowanceProtobufClient struct {
 	client      HTTPClient
-	urls        [1]string
+	urls        [2]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -73,8 +76,9 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "bluebellroute.allowance", "Allowance")
-	urls := [1]string{
+	urls := [2]string{
 		serviceURL + "Take",
+		serviceURL + "Yield",
 	}
 
 	return &allowanceProtobufClient{
@@ -131,13 +135,59 @@
 	return out, nil
 }
 
+func (c *allowanceProtobufClient) Yield(ctx context.Context, in *YieldRequest) (*YieldReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "bluebellroute.allowance")
+	ctx = ctxsetters.WithServiceName(ctx, "Allowance")
+	ctx = ctxsetters.WithMethodName(ctx, "Yield")
+	caller := c.callYield
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *YieldRequest) (*YieldReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*YieldRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*YieldRequest) when calling interceptor")
+					}
+					return c.callYield(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*YieldReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*YieldReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *allowanceProtobufClient) callYield(ctx context.Context, in *YieldRequest) (*YieldReply, error) {
+	out := new(YieldReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // =====================
 // Allowance JSON Client
 // =====================
 
 type allowanceJSONClient struct {
 	client      HTTPClient
-	urls        [1]string
+	urls        [2]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -165,8 +215,9 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "bluebellroute.allowance", "Allowance")
-	urls := [1]string{
+	urls := [2]string{
 		serviceURL + "Take",
+		serviceURL + "Yield",
 	}
 
 	return &allowanceJSONClient{
@@ -223,6 +274,52 @@
 	return out, nil
 }
 
+func (c *allowanceJSONClient) Yield(ctx context.Context, in *YieldRequest) (*YieldReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "bluebellroute.allowance")
+	ctx = ctxsetters.WithServiceName(ctx, "Allowance")
+	ctx = ctxsetters.WithMethodName(ctx, "Yield")
+	caller := c.callYield
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *YieldRequest) (*YieldReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*YieldRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*YieldRequest) when calling interceptor")
+					}
+					return c.callYield(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*YieldReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*YieldReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *allowanceJSONClient) callYield(ctx context.Context, in *YieldRequest) (*YieldReply, error) {
+	out := new(YieldReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ========================
 // Allowance Server Handler
 // ========================
@@ -323,6 +420,9 @@
 	case "Take":
 		s.serveTake(ctx, resp, req)
 		return
+	case "Yield":
+		s.serveYield(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -510,6 +610,186 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *allowanceServer) serveYield(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveYieldJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveYieldProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *allowanceServer) serveYieldJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Yield")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(YieldRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Allowance.Yield
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *YieldRequest) (*YieldReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*YieldRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*YieldRequest) when calling interceptor")
+					}
+					return s.Allowance.Yield(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*YieldReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*YieldReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *YieldReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *YieldReply and nil error while calling Yield. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *allowanceServer) serveYieldProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Yield")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(YieldRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Allowance.Yield
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *YieldRequest) (*YieldReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*YieldRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*YieldRequest) when calling interceptor")
+					}
+					return s.Allowance.Yield(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*YieldReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*YieldReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *YieldReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *YieldReply and nil error while calling Yield. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *allowanceServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor0, 0
 }
@@ -1091,21 +1371,24 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 249 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x84, 0x91, 0xdf, 0x4a, 0xc3, 0x30,
-	0x18, 0xc5, 0x89, 0xfb, 0x83, 0x8d, 0xa2, 0x10, 0x44, 0x8b, 0x57, 0xa5, 0xec, 0xa2, 0x57, 0x19,
-	0xe8, 0x03, 0x48, 0x7d, 0x02, 0x09, 0x7a, 0x23, 0x48, 0x49, 0xb6, 0x4f, 0x1d, 0x8b, 0x49, 0x4c,
-	0xbe, 0x30, 0xfa, 0xf6, 0xd2, 0x74, 0xab, 0x55, 0x10, 0xef, 0xf2, 0x3b, 0x39, 0xe4, 0xc7, 0x21,
-	0xf4, 0x5c, 0x6a, 0x6d, 0x77, 0xd2, 0xac, 0x80, 0x3b, 0x6f, 0xd1, 0xb2, 0x2b, 0xa5, 0x23, 0x28,
-	0xd0, 0xda, 0xdb, 0x88, 0xc0, 0x87, 0xeb, 0x72, 0x43, 0x4f, 0x1e, 0xe5, 0x16, 0x04, 0x7c, 0x46,
-	0x08, 0xc8, 0x2e, 0xe9, 0x1c, 0xc1, 0x48, 0x83, 0x39, 0x29, 0x48, 0x95, 0x89, 0x3d, 0x75, 0xb9,
-	0x01, 0x58, 0xc3, 0x3a, 0x3f, 0x2a, 0x48, 0x35, 0x13, 0x7b, 0x62, 0x17, 0x74, 0x16, 0x9c, 0xf4,
-	0x90, 0x4f, 0x52, 0xdc, 0x43, 0x97, 0xda, 0x9d, 0x01, 0x9f, 0x4f, 0x0b, 0x52, 0x1d, 0x8b, 0x1e,
-	0xca, 0x86, 0x66, 0xbd, 0xca, 0xe9, 0xf6, 0xbb, 0x42, 0x46, 0x95, 0xa4, 0xb7, 0x5b, 0x30, 0xe1,
-	0xa0, 0xe9, 0x89, 0x2d, 0xe8, 0x99, 0x07, 0xf4, 0x6d, 0x23, 0x5f, 0x11, 0x7c, 0x13, 0x43, 0xf2,
-	0x4d, 0xc4, 0x69, 0x4a, 0xeb, 0x2e, 0x7c, 0x0a, 0x37, 0x2f, 0x34, 0xab, 0x0f, 0xc3, 0xd8, 0x03,
-	0x9d, 0x76, 0x36, 0xb6, 0xe0, 0x7f, 0x4c, 0xe7, 0xa3, 0xdd, 0xd7, 0xe5, 0x3f, 0x2d, 0xa7, 0xdb,
-	0xfb, 0xfa, 0xf9, 0xee, 0x6d, 0x83, 0xef, 0x51, 0xf1, 0x95, 0xfd, 0x58, 0xfe, 0xe8, 0xff, 0x26,
-	0xe5, 0x87, 0x07, 0x96, 0xc3, 0xc9, 0x29, 0x35, 0x4f, 0xbf, 0x71, 0xfb, 0x15, 0x00, 0x00, 0xff,
-	0xff, 0x80, 0x10, 0xc4, 0xcb, 0xa0, 0x01, 0x00, 0x00,
+	// 293 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x84, 0x52, 0x4d, 0x4b, 0xc4, 0x30,
+	0x14, 0xa4, 0xee, 0x07, 0xee, 0x73, 0x51, 0x08, 0xa2, 0x65, 0x4f, 0x4b, 0x5d, 0x65, 0x4f, 0x5d,
+	0xd0, 0x9b, 0x17, 0xa9, 0xbf, 0x40, 0xaa, 0x1e, 0xf4, 0x52, 0x92, 0xed, 0x53, 0xcb, 0xc6, 0xa4,
+	0xbe, 0xa6, 0x2c, 0xfd, 0x5b, 0xfe, 0x42, 0x69, 0xfa, 0x61, 0x15, 0x4a, 0x6f, 0x99, 0xc9, 0xbc,
+	0xcc, 0x64, 0x12, 0x38, 0xe1, 0x52, 0xea, 0x3d, 0x57, 0x5b, 0xf4, 0x53, 0xd2, 0x46, 0xb3, 0x73,
+	0x21, 0x73, 0x14, 0x28, 0x25, 0xe9, 0xdc, 0xa0, 0xdf, 0x6e, 0x7b, 0x57, 0x30, 0x7f, 0x49, 0x50,
+	0xc6, 0x21, 0x7e, 0xe5, 0x98, 0x19, 0x76, 0x06, 0x53, 0x83, 0x8a, 0x2b, 0xe3, 0x3a, 0x4b, 0x67,
+	0x3d, 0x0b, 0x6b, 0xe4, 0xdd, 0x02, 0xd4, 0xba, 0x54, 0x16, 0xec, 0x14, 0x26, 0x7a, 0xaf, 0x30,
+	0xb6, 0xa2, 0xc3, 0xb0, 0x02, 0x76, 0x56, 0xef, 0x50, 0x65, 0xee, 0xc1, 0xd2, 0x59, 0x4f, 0xc2,
+	0x1a, 0x79, 0x09, 0x1c, 0x3d, 0xf1, 0x1d, 0x0e, 0x58, 0x94, 0xbc, 0x42, 0x8c, 0x31, 0x6e, 0xc6,
+	0x2b, 0x54, 0x9a, 0x65, 0x29, 0x27, 0x74, 0x47, 0x96, 0xae, 0x40, 0x13, 0x81, 0xdc, 0xf1, 0x6f,
+	0x04, 0xf2, 0x22, 0x98, 0x55, 0x56, 0x9d, 0x94, 0xd4, 0x4d, 0x49, 0x7d, 0x29, 0xd9, 0x0a, 0x8e,
+	0x09, 0x0d, 0x15, 0x11, 0x7f, 0x33, 0x48, 0x51, 0x9e, 0x59, 0xbf, 0x51, 0x38, 0xb7, 0x6c, 0x50,
+	0x92, 0xcf, 0xd9, 0xf5, 0xb7, 0x03, 0xb3, 0xa0, 0x69, 0x8f, 0x3d, 0xc0, 0xb8, 0xb4, 0x63, 0x2b,
+	0xbf, 0xa7, 0x5f, 0xbf, 0x73, 0xf1, 0x85, 0x37, 0xa0, 0x2a, 0x33, 0x3f, 0xc2, 0xc4, 0xf6, 0xcc,
+	0x2e, 0x7b, 0xc5, 0xdd, 0xf7, 0x5a, 0x5c, 0x0c, 0xc9, 0x52, 0x59, 0xdc, 0x07, 0xaf, 0x77, 0xef,
+	0x89, 0xf9, 0xc8, 0x85, 0xbf, 0xd5, 0x9f, 0x9b, 0x3f, 0x03, 0xff, 0x91, 0xa0, 0xf6, 0x84, 0x4d,
+	0xbb, 0x4a, 0x85, 0x98, 0xda, 0x7f, 0x74, 0xf3, 0x13, 0x00, 0x00, 0xff, 0xff, 0x4c, 0x53, 0x57,
+	0xee, 0x5a, 0x02, 0x00, 0x00,
 }
--- a/bbrlimit/owner.go
+++ b/bbrlimit/owner.go
@@ -15,17 +15,75 @@
 	// exhaustedInterval if they had none.
 	balanceInterval   = 20 * time.Millisecond
 	exhaustedInterval = 250 * time.Millisecond
+	// yieldTime bounds the time for which an instance grants nothing of a tenant after it
+	// has yielded it. By then it knows of the owner that it yielded to, unless that one
+	// has gone again.
+	yieldTime = time.Minute
 	// nearLimit is how long after a rejection a tenant counts as near its limit.
 	nearLimit = 5 * time.Second
 )
 
-// Owner holds the buckets of the tenants that an instance owns. Buckets are made when they
-// are first used. Set StartedAt before the first use.
+// Owner holds the buckets of the tenants that an instance owns. Set StartedAt before the
+// first use.
+//
+// Instances learn at different times that there is a new owner, as after an instance was
+// added. The new one calls TakeOver before it grants tokens, once the runners-up (see
+// RunnersUp), one of which owned the tenant before, have yielded it.
 type Owner struct {
 	// StartedAt is when the instance became an owner of the tenants that have no bucket
 	// yet.
 	StartedAt bbrtype.Mono
 	buckets   map[bbrtype.TenantName]*ownedBucket
+	// yieldedUntil holds the tenants that were yielded to another instance.
+	yieldedUntil map[bbrtype.TenantName]bbrtype.Mono
+}
+
+// Handover is what a runner-up had when it yielded a tenant.
+type Handover struct {
+	// Owned reports whether it was an owner of the tenant.
+	Owned  bool
+	Tokens int
+}
+
+// Has reports whether the instance has a bucket of a tenant.
+func (o *Owner) Has(tenant bbrtype.TenantName) bool { return o.buckets[tenant] != nil }
+
+// Yield gives the bucket of a tenant up for another instance, which ranks before this one.
+func (o *Owner) Yield(now bbrtype.Mono, tenant bbrtype.TenantName) Handover {
+	if o.yieldedUntil == nil {
+		o.yieldedUntil = map[bbrtype.TenantName]bbrtype.Mono{}
+	}
+	o.yieldedUntil[tenant] = now.Add(yieldTime)
+	b := o.buckets[tenant]
+	if b == nil {
+		return Handover{}
+	}
+	delete(o.buckets, tenant)
+	b.fill(now)
+	return Handover{Owned: true, Tokens: int(b.level)}
+}
+
+// HasYielded reports whether the instance has yielded a tenant.
+func (o *Owner) HasYielded(now bbrtype.Mono, tenant bbrtype.TenantName) bool {
+	return now < o.yieldedUntil[tenant]
+}
+
+// TakeOver makes the bucket of a tenant. If a runner-up owned the tenant, the bucket has the
+// tokens that it had, else those that have come since StartedAt.
+func (o *Owner) TakeOver(now bbrtype.Mono, tenant bbrtype.TenantName, l Limit, owners int, h Handover) {
+	b := o.bucket(now, tenant, l, owners)
+	if h.Owned {
+		b.level = min(b.capacity, float64(max(0, h.Tokens)))
+		b.filledAt = now
+	}
+}
+
+// Relist is called when the list of instances has changed: buckets that are made from now on
+// fill from now on, those of tenants that the instance no longer owns are forgotten, and who
+// owns a tenant follows from the new list, not from what was yielded before.
+func (o *Owner) Relist(now bbrtype.Mono, owns func(bbrtype.TenantName) bool) {
+	o.StartedAt, o.yieldedUntil = now, nil
+	o.Retain(owns)
 }
 
 // ownedBucket is a bucket with the state of its balance with the other owners.
--- a/bbrnode/limit.go
+++ b/bbrnode/limit.go
@@ -63,6 +63,9 @@
 	// balances holds the tenants whose tokens are being taken from other owners. Each
 	// channel is closed when that has ended.
 	balances map[bbrtype.TenantName]chan struct{}
+	// takeovers holds the tenants that this instance is about to own. Each channel is
+	// closed when that has ended.
+	takeovers map[bbrtype.TenantName]chan struct{}
 	// excludedUntil maps the address of each owner that did not respond to the time until
 	// which it is not asked.
 	excludedUntil map[bbrtype.InstanceID]bbrtype.Mono
@@ -84,7 +87,7 @@
 	return &limiter{
 		node: n, client: bbrallowance.NewClient(n.platform.PeerTransport), metrics: newLimitMetrics(n.metrics.registry),
 		owner: bbrlimit.Owner{StartedAt: n.clock.Now()}, takes: map[bbrtype.TenantName]*tokenTake{},
-		balances:      map[bbrtype.TenantName]chan struct{}{},
+		balances: map[bbrtype.TenantName]chan struct{}{}, takeovers: map[bbrtype.TenantName]chan struct{}{},
 		excludedUntil: map[bbrtype.InstanceID]bbrtype.Mono{}, nearLimit: map[bbrtype.TenantName]bool{},
 	}
 }
@@ -194,7 +197,7 @@
 func (l *limiter) takeFrom(ctx context.Context, owner bbrtype.InstanceID, r bbrallowance.Request, timeout time.Duration) (bbrlimit.Grant, error) {
 	if owner == l.self() {
 		l.metrics.take(takeLocal)
-		return l.grant(r)
+		return l.Grant(r)
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -214,15 +217,15 @@
 	return grant, nil
 }
 
-// grant grants tokens that this instance owns. It returns bbrallowance.ErrNotOwner if it owns
-// no part of the tenant's limit.
-func (l *limiter) grant(r bbrallowance.Request) (bbrlimit.Grant, error) {
+// Grant implements bbrallowance.Source. An instance that stops grants nothing, because another
+// one is about to become the owner.
+func (l *limiter) Grant(r bbrallowance.Request) (bbrlimit.Grant, error) {
 	limit, ok := l.limitOf(r.Tenant)
 	if !ok {
 		return bbrlimit.Grant{}, bbrallowance.ErrNotOwner
 	}
 	owners, err := l.ownersOf(r.Tenant)
-	if err != nil || !contains(owners, l.self()) {
+	if err != nil || !contains(owners, l.self()) || l.node.isStopping() || !l.owns(r.Tenant, limit, len(owners)) {
 		return bbrlimit.Grant{}, bbrallowance.ErrNotOwner
 	}
 	if r.FromOwner {
--- a/bbrnode/limit_test.go
+++ b/bbrnode/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -29,7 +30,7 @@
 	var entries []instanceEntry
 	for i := range count {
 		n := newTestNode()
-		server := httptest.NewServer(bbrallowance.Handler(n.limiter.grant))
+		server := httptest.NewServer(bbrallowance.Handler(n.limiter))
 		t.Cleanup(server.Close)
 		n.settings.PeerAddress = strings.TrimPrefix(server.URL, "http://")
 		n.settings.DataCentre = bbrtype.DataCentre(rune('a' + i))
@@ -176,7 +177,7 @@
 	f := newLimitedFleet(t, 2, slowTenant)
 	n := f.nodes[0]
 	n.list([]instanceEntry{{DataCentre: n.settings.DataCentre, Address: n.settings.PeerAddress}, {DataCentre: n.settings.DataCentre, Address: higherRanked(n.settings.PeerAddress)}})
-	_, err := n.limiter.grant(bbrallowance.Request{Tenant: "acme", Request: bbrlimit.Request{Needed: 1}})
+	_, err := n.limiter.Grant(bbrallowance.Request{Tenant: "acme", Request: bbrlimit.Request{Needed: 1}})
 	is.Equal(err, bbrallowance.ErrNotOwner)
 }
 
@@ -192,3 +193,76 @@
 		}
 	}
 }
+
+// newNeighbours returns two instances of one data centre of which the first ranks before the
+// second for the limit of acme, and their entries. No instance has a list.
+func newNeighbours(t *testing.T) (*limitedFleet, []instanceEntry) {
+	f := newLimitedFleet(t, 2, slowTenant)
+	for _, n := range f.nodes {
+		n.settings.DataCentre = "a"
+	}
+	var listed []bbrlimit.Instance
+	for _, n := range f.nodes {
+		listed = append(listed, bbrlimit.Instance{ID: n.limiter.self(), DataCentre: "a"})
+	}
+	if bbrlimit.Owners("acme", "a", listed)[0].ID != f.nodes[0].limiter.self() {
+		slices.Reverse(f.nodes)
+		slices.Reverse(f.servers)
+	}
+	var entries []instanceEntry
+	for _, n := range f.nodes {
+		entries = append(entries, instanceEntry{DataCentre: "a", Address: n.settings.PeerAddress})
+	}
+	return f, entries
+}
+
+// TestNewOwnerTakesOver adds an instance that ranks before the owner, whose list is still the
+// old one. It guards against two owners of the same part of the limit.
+func TestNewOwnerTakesOver(t *testing.T) {
+	is := is.New(t)
+	f, entries := newNeighbours(t)
+	added, before := f.nodes[0].limiter, f.nodes[1].limiter
+	f.nodes[1].list(entries[1:])
+	admitted := 0
+	for range 15 {
+		if ok, _ := before.Admit(context.Background(), "acme"); ok {
+			admitted++
+		}
+	}
+	is.Equal(admitted, 15)
+	f.nodes[0].list(entries)
+	for {
+		grant, err := added.Grant(bbrallowance.Request{Tenant: "acme", Request: bbrlimit.Request{Needed: 1}})
+		is.NoErr(err)
+		if grant.Tokens == 0 {
+			break
+		}
+		admitted += grant.Tokens
+	}
+	is.True(admitted <= allTokens)
+	is.True(admitted >= allTokens-5)
+	_, err := before.Grant(bbrallowance.Request{Tenant: "acme", Request: bbrlimit.Request{Needed: 1}})
+	is.Equal(err, bbrallowance.ErrNotOwner)
+}
+
+func TestNewOwnerDoesNotWaitForAnInstanceThatDoesNotRun(t *testing.T) {
+	is := is.New(t)
+	f, entries := newNeighbours(t)
+	f.servers[1].Close()
+	f.nodes[0].list(entries)
+	grant, err := f.nodes[0].limiter.Grant(bbrallowance.Request{Tenant: "acme", Request: bbrlimit.Request{Needed: 1}})
+	is.NoErr(err)
+	is.Equal(grant.Tokens, 1)
+}
+
+// TestInstanceThatStopsGrantsNothing guards against an instance that goes on granting while
+// its successor, which the list already names, does so, too.
+func TestInstanceThatStopsGrantsNothing(t *testing.T) {
+	is := is.New(t)
+	f := newLimitedFleet(t, 2, slowTenant)
+	f.nodes[0].stopping = true
+	_, err := f.nodes[0].limiter.Grant(bbrallowance.Request{Tenant: "acme", Request: bbrlimit.Request{Needed: 1}})
+	is.Equal(err, bbrallowance.ErrNotOwner)
+	ok, _ := f.nodes[0].limiter.Admit(context.Background(), "acme")
+	is.True(ok) // by the other owner
+}
--- a/bbrnode/limitowner.go
+++ b/bbrnode/limitowner.go
@@ -1,12 +1,26 @@
 package bbrnode
 
 import (
+	"context"
 	"slices"
+	"time"
 
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/bluebellroute/bluebellroute/bbrallowance"
 	"github.com/bluebellroute/bluebellroute/bbrlimit"
 	"github.com/bluebellroute/bluebellroute/bbrtype"
 )
 
+const (
+	// takeoverWait is how long a new owner waits for an instance that may have owned the
+	// tenant before.
+	takeoverWait = 3 * time.Second
+	// yieldRetryDelay is the delay before it is asked again.
+	yieldRetryDelay = 250 * time.Millisecond
+)
+
 // ownerView is the owners of the tenants' limits by a list of the instances.
 type ownerView struct {
 	// fleet is the list that the view was computed from.
@@ -51,15 +65,92 @@
 		l.owners.fleet = fleet
 		return
 	}
-	if l.owners.instances != nil {
-		l.owner.StartedAt = l.node.clock.Now()
-	}
+	isFirst := l.owners.instances == nil
 	l.owners = ownerView{fleet: fleet, instances: instances, owners: map[bbrtype.TenantName][]bbrlimit.Instance{}}
-	l.owner.Retain(func(t bbrtype.TenantName) bool {
+	if isFirst {
+		return
+	}
+	l.owner.Relist(l.node.clock.Now(), func(t bbrtype.TenantName) bool {
 		return contains(bbrlimit.Owners(t, l.node.settings.DataCentre, instances), l.self())
 	})
 }
 
+// owns reports whether this instance has the bucket of a tenant that it owns by its list. If
+// not, it takes the tenant over, and waits for that for at most balanceWait.
+func (l *limiter) owns(tenant bbrtype.TenantName, limit bbrlimit.Limit, owners int) bool {
+	l.mu.Lock()
+	if l.owner.HasYielded(l.node.clock.Now(), tenant) || l.owner.Has(tenant) {
+		defer l.mu.Unlock()
+		return l.owner.Has(tenant)
+	}
+	done := l.takeovers[tenant]
+	if done == nil {
+		done = make(chan struct{})
+		l.takeovers[tenant] = done
+		runnersUp := bbrlimit.RunnersUp(tenant, l.node.settings.DataCentre, l.owners.instances)
+		l.node.runAsync(func() { l.takeOver(tenant, limit, owners, runnersUp, done) })
+	}
+	l.mu.Unlock()
+	select {
+	case <-done:
+	case <-time.After(balanceWait):
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.owner.Has(tenant)
+}
+
+// takeOver asks the runners-up to yield a tenant, makes its bucket, and closes done. A
+// runner-up that does not respond for takeoverWait is passed over.
+func (l *limiter) takeOver(tenant bbrtype.TenantName, limit bbrlimit.Limit, owners int, runnersUp []bbrtype.InstanceID, done chan struct{}) {
+	var handover bbrlimit.Handover
+	deadline := l.node.clock.Now().Add(takeoverWait)
+	for _, id := range runnersUp {
+		h, err := l.askToYield(id, tenant, deadline)
+		if err != nil {
+			l.node.log.WithError(err).WithFields(logrus.Fields{"tenant": tenant, "instance": id}).Warn("limit taken over from an instance that does not respond")
+		}
+		handover.Owned = handover.Owned || h.Owned
+		handover.Tokens += h.Tokens
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	defer close(done)
+	delete(l.takeovers, tenant)
+	now := l.node.clock.Now()
+	if l.owner.HasYielded(now, tenant) {
+		return
+	}
+	l.owner.TakeOver(now, tenant, limit, owners, handover)
+	if handover.Owned {
+		l.node.log.WithFields(logrus.Fields{"tenant": tenant, "tokens": handover.Tokens}).Info("limit taken over from its owner before")
+	}
+}
+
+// askToYield asks a runner-up to yield a tenant until it replies, does not run, or the deadline
+// has passed.
+func (l *limiter) askToYield(id bbrtype.InstanceID, tenant bbrtype.TenantName, deadline bbrtype.Mono) (bbrlimit.Handover, error) {
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), takeTimeout)
+		h, err := l.client.Yield(ctx, string(id), tenant)
+		cancel()
+		switch {
+		case err == nil, errors.Is(err, bbrallowance.ErrNotRunning):
+			return h, nil
+		case l.node.clock.Now() >= deadline:
+			return h, err
+		}
+		time.Sleep(yieldRetryDelay)
+	}
+}
+
+// Yield implements bbrallowance.Source.
+func (l *limiter) Yield(tenant bbrtype.TenantName) bbrlimit.Handover {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.owner.Yield(l.node.clock.Now(), tenant)
+}
+
 // limitInstances returns this instance and the listed ones, sorted.
 func (n *Node) limitInstances() []bbrlimit.Instance {
 	n.mu.Lock()
--- a/bbrnode/run.go
+++ b/bbrnode/run.go
@@ -115,7 +115,7 @@
 	if n.settings.PeerAddress != "" {
 		peers := http.NewServeMux()
 		peers.Handle(bbrforward.PathPrefix, n.forwardRequests.count(bbrforward.Handler(n.runForwarded, n.sessions.IsForwardedStopped)))
-		peers.Handle(bbrallowance.PathPrefix, bbrallowance.Handler(n.limiter.grant))
+		peers.Handle(bbrallowance.PathPrefix, bbrallowance.Handler(n.limiter))
 		peers.Handle("/", bbrshare.Handler(n.servePull))
 		handlers[n.settings.PeerAddress] = peers
 	}
