Hold connections in a few instances also where connections suffice but instances are many

Cause: each of 59 instances had statements of its own in flight, up to 3 connections each, before members that run 3 and queue 32. Change: beyond 24 instances a group has holders as where connections are scarce.

--- a/bbrholder/holder.go
+++ b/bbrholder/holder.go
@@ -3,10 +3,9 @@
 // pure: it holds no lock and reads no clock.
 //
 // Members accept a limited number of connections from all instances together. While
-// every instance can keep one, each holds its own. Where instances outnumber the
-// connections, a few instances of each data centre hold them, called the group's
-// holders, and the other instances forward their statements to a holder of their own
-// data centre. The holders are the first-ranked instances by rendezvous hashing of the
+// every instance can keep one, and the instances are few, each holds its own. Elsewhere a
+// few instances of each data centre hold them, called the group's holders, and the other
+// instances forward their statements to a holder of their own data centre. The holders are the first-ranked instances by rendezvous hashing of the
 // group's name. Instances that agree on the list of instances thus agree on the holders,
 // and each group has its own. An instance that finds a holder unresponsive leaves it out
 // and uses the next-ranked one.
@@ -41,6 +40,9 @@
 	// holdersPerDataCentre is how many instances of a data centre keep connections to a
 	// group's members open while connections are scarce.
 	holdersPerDataCentre = 3
+	// maxDirectInstances is the number of instances up to which each may hold connections of
+	// its own. Each has a statement in flight at times, and a member runs only a few.
+	maxDirectInstances = 24
 	// inFlightPerSlot is how many statements all holders together may have in flight for
 	// each slot of a member, before their limits adapt to its replies.
 	inFlightPerSlot = 4
@@ -78,9 +80,10 @@
 }
 
 // IsScarce reports whether members that accept maxConnections have fewer connections to
-// share out than there are instances.
+// share out than there are instances, or less capacity than instances that don't know of each
+// other's statements would use.
 func (f *Fleet) IsScarce(maxConnections int) bool {
-	return maxConnections/sharedConnectionsDivisor < len(f.all)
+	return maxConnections/sharedConnectionsDivisor < len(f.all) || len(f.all) > maxDirectInstances
 }
 
 // Ranked returns the instances of the fleet's own data centre in the order in which they
