Open a connection for another tenant in place of an own one where the member takes no more

Cause: room was made only once the share was used up, not where a member had refused a connection. TestMemberAtItsLimitServesAllTenants fails without the change (more than 2 refused).

--- a/bbrlink/tenant.go
+++ b/bbrlink/tenant.go
@@ -72,8 +72,9 @@
 // makeRoom closes an idle connection of another tenant if a new one would exceed the
 // instance's share. The caller holds mu.
 func (g *Group) makeRoom(m bbrdirectory.Member, tenant bbrtype.TenantName) {
-	share := g.shareIn(m)
-	if g.open[m.ID]+g.dialing[m.ID] < share.Connections {
+	now := g.Clock.Now()
+	limit := min(g.shareIn(m).Connections, g.scheduler.ConnectionLimit(m.ID, now))
+	if g.open[m.ID]+g.dialing[m.ID] < limit {
 		return
 	}
 	var others []int
@@ -84,7 +85,6 @@
 			unused = append(unused, bbreviction.Unused{Tenant: c.tenant, IdleSince: c.idleSince})
 		}
 	}
-	now := g.Clock.Now()
 	chosen := g.usage.Choose(unused, now)
 	if chosen < 0 {
 		return
@@ -96,7 +96,7 @@
 	g.closeConn(c)
 	g.dials.Evicted++
 	g.Log.WithFields(logrus.Fields{
-		"group": g.name, "member": m.ID, "tenant": c.tenant, "for": tenant, "open": g.open[m.ID], "share": share.Connections,
+		"group": g.name, "member": m.ID, "tenant": c.tenant, "for": tenant, "open": g.open[m.ID], "limit": limit,
 		"idleMs": now.Sub(c.idleSince).Milliseconds(),
 	}).Debug("connection closed for another tenant")
 }
--- a/bbrplace/scheduler.go
+++ b/bbrplace/scheduler.go
@@ -217,11 +217,25 @@
 // lower of the adaptive limit and the number of connections that are not idle in a
 // transaction.
 func (m *memberState) capacity(now bbrtype.Mono) int {
-	connections := max(m.BaseLimit, m.MaxLimit)
+	return max(0, min(m.adaptiveLimit.value(), m.connectionLimit(now)-m.idleInTransaction))
+}
+
+// connectionLimit returns how many connections to the member may be open.
+func (m *memberState) connectionLimit(now bbrtype.Mono) int {
+	limit := max(m.BaseLimit, m.MaxLimit)
 	if now < m.connCapUntil {
-		connections = min(connections, m.connCap)
+		limit = min(limit, m.connCap)
 	}
-	return max(0, min(m.adaptiveLimit.value(), connections-m.idleInTransaction))
+	return limit
+}
+
+// ConnectionLimit returns how many connections to a member may be open: the instance's share,
+// or fewer after the member has refused one.
+func (s *Scheduler) ConnectionLimit(id bbrtype.MemberName, now bbrtype.Mono) int {
+	if m := s.members[id]; m != nil {
+		return m.connectionLimit(now)
+	}
+	return 0
 }
 
 // mayHaveApplied reports whether a replica is expected to have applied a log
