--- a/bbrlimit/limit_test.go
+++ b/bbrlimit/limit_test.go
@@ -21,6 +21,8 @@
 	acme bbrtype.TenantName = "acme"
 	// tick is the time between two steps of a fleet.
 	tick = 10 * time.Millisecond
+	// maxInstances is the most instances of a fleet to which some are added.
+	maxInstances = 60
 	// manySpare is more spare tokens than an owner grants at once.
 	manySpare = 1000
 )
@@ -41,6 +43,8 @@
 	Instance
 	holder Holder
 	owner  Owner
+	// listed is the list of instances that this one knows.
+	listed []Instance
 	// cut instances reach no other one, suspended ones do nothing.
 	cut, suspended bool
 	// late is a grant whose reply arrives when the instance is no longer suspended.
@@ -59,9 +63,58 @@
 		f.listed = append(f.listed, id)
 		f.instances = append(f.instances, &instance{Instance: id, owner: Owner{StartedAt: f.now}})
 	}
+	for _, i := range f.instances {
+		i.listed = f.listed
+	}
 	return f
 }
 
+// join adds an instance. The others know of it after relist.
+func (f *fleet) join() {
+	n := len(f.instances)
+	if n >= maxInstances {
+		return
+	}
+	id := Instance{ID: bbrtype.InstanceID(fmt.Sprint("i", n)), DataCentre: f.instances[n/2].DataCentre}
+	f.listed = append(slices.Clone(f.listed), id)
+	f.instances = append(f.instances, &instance{Instance: id, owner: Owner{StartedAt: f.now}, listed: f.listed})
+}
+
+// relist lets an instance read the list.
+func (f *fleet) relist(i *instance) {
+	if len(i.listed) == len(f.listed) {
+		return
+	}
+	i.listed = f.listed
+	i.owner.Relist(f.now, func(bbrtype.TenantName) bool { return i.owns() })
+}
+
+// owns reports whether an instance is an owner by its list.
+func (i *instance) owns() bool {
+	return slices.Contains(Owners(acme, i.DataCentre, i.listed), i.Instance)
+}
+
+// takesOver reports whether an instance grants tokens, after the runners-up have yielded.
+func (f *fleet) takesOver(i *instance) bool {
+	if !i.owns() || i.owner.HasYielded(f.now, acme) {
+		return false
+	}
+	if i.owner.Has(acme) {
+		return true
+	}
+	runnersUp := RunnersUp(acme, i.DataCentre, i.listed)
+	if slices.ContainsFunc(runnersUp, func(id bbrtype.InstanceID) bool { return !i.reaches(f.byID(id)) }) {
+		return false
+	}
+	var sum Handover
+	for _, id := range runnersUp {
+		h := f.byID(id).owner.Yield(f.now, acme)
+		sum.Owned, sum.Tokens = sum.Owned || h.Owned, sum.Tokens+h.Tokens
+	}
+	i.owner.TakeOver(f.now, acme, f.limit, len(Owners(acme, i.DataCentre, i.listed)), sum)
+	return true
+}
+
 func (f *fleet) byID(id bbrtype.InstanceID) *instance {
 	return f.instances[slices.IndexFunc(f.instances, func(i *instance) bool { return i.ID == id })]
 }
@@ -95,10 +148,10 @@
 
 // ask asks the first owner that an instance reaches.
 func (f *fleet) ask(i *instance, spare int) (Grant, bool) {
-	owners := Owners(acme, i.DataCentre, f.listed)
+	owners := Owners(acme, i.DataCentre, i.listed)
 	for _, o := range owners {
 		owner := f.byID(o.ID)
-		if !i.reaches(owner) {
+		if !i.reaches(owner) || !f.takesOver(owner) {
 			continue
 		}
 		f.asks++
@@ -113,7 +166,7 @@
 	wanted, _ := owner.owner.Shortage(f.now, acme, f.limit, len(owners), 1)
 	for _, o := range owners {
 		other := f.byID(o.ID)
-		if wanted <= 0 || other == owner || !owner.reaches(other) {
+		if wanted <= 0 || other == owner || !owner.reaches(other) || !f.takesOver(other) {
 			continue
 		}
 		f.asks++
@@ -162,8 +215,8 @@
 	})
 }
 
-// TestNoWindowExceedsTheBound lets instances be killed, suspended and cut off, and demand come,
-// go and move between instances, while replies come late. It guards against a limit that is
+// TestNoWindowExceedsTheBound lets instances be killed, suspended, cut off and added, and demand
+// come, go and move between instances, while replies come late and lists differ. It guards against a limit that is
 // exceeded because tokens are used twice or long after they were granted.
 func TestNoWindowExceedsTheBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -208,15 +261,19 @@
 
 // strike changes the state of an instance at random.
 func (f *fleet) strike(i *instance, r *rand.Rand) {
-	switch r.IntN(4) {
+	switch r.IntN(6) {
 	case 0:
-		i.holder, i.owner, i.late = Holder{}, Owner{StartedAt: f.now}, nil
+		i.holder, i.owner, i.late, i.listed = Holder{}, Owner{StartedAt: f.now}, nil, f.listed
 	case 1:
 		i.cut = !i.cut
 	case 2:
 		f.suspend(i)
 	case 3:
 		f.resume(i)
+	case 4:
+		f.join()
+	case 5:
+		f.relist(i)
 	}
 }
 
