Few instances of a data centre follow the store for the others

Cause: each instance follows three tables of the store by long polls and reads the list of instances at intervals, so calls grow with the number of instances.

Change: an instance of a data centre with five or more follows the first-ranked other one by a long poll of the peers' port; whoever is asked follows the store. Relayed tables have version, era and age. Reads for proofs still go to the store.

--- a/bbrnode/metric.go
+++ b/bbrnode/metric.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/bluebellroute/bluebellroute/bbrcatalog"
+	"github.com/bluebellroute/bluebellroute/bbrfollow"
 	"github.com/bluebellroute/bluebellroute/bbrsession"
 	"github.com/bluebellroute/bluebellroute/bbrtype"
 )
@@ -40,6 +41,8 @@
 	// ignoredRows counts the rows that were not newer than the known ones, but
 	// differed from them.
 	ignoredRows *prometheus.CounterVec
+	// followersLeft counts the followers that were left, by bbrfollow.Reason.
+	followersLeft *prometheus.CounterVec
 
 	mu     sync.Mutex
 	routes map[bbrtype.RouteName]bool
@@ -67,8 +70,11 @@
 		ignoredRows: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bbr_node_rows_ignored_total", Help: "Rows that differed from the known ones but were not newer.",
 		}, []string{"table"}),
+		followersLeft: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bbr_node_followers_left_total", Help: "Instances that were followed and left, by reason.",
+		}, []string{"reason"}),
 	}
-	m.registry.MustRegister(m.statements, m.phases, m.forwards, m.storeCalls, m.entriesLeftOut, m.ignoredRows)
+	m.registry.MustRegister(m.statements, m.phases, m.forwards, m.storeCalls, m.entriesLeftOut, m.ignoredRows, m.followersLeft)
 	m.showZeros()
 	return m
 }
@@ -81,6 +87,9 @@
 	for _, table := range []string{groupTable, instanceTable} {
 		m.entriesLeftOut.WithLabelValues(table)
 	}
+	for _, reason := range bbrfollow.Reasons() {
+		m.followersLeft.WithLabelValues(string(reason))
+	}
 	for _, outcome := range []bbrsession.ForwardOutcome{bbrsession.ForwardDone, bbrsession.ForwardDeclined, bbrsession.ForwardNotSent, bbrsession.ForwardLost} {
 		m.forwards.WithLabelValues(string(outcome))
 	}
--- a/bbrnode/node.go
+++ b/bbrnode/node.go
@@ -121,6 +121,7 @@
 	// peers are the other instances that the store lists.
 	peers  []instanceEntry
 	mirror bbrrows.Mirror
+	tables tableReads
 	// loaded holds the tables that have been read from the store in full.
 	// unavailable holds the tables that cannot be read from the store at present.
 	loaded      map[string]bool
@@ -206,12 +207,15 @@
 // followedTables returns the tables that the instance follows.
 func (n *Node) followedTables() []followedTable {
 	return []followedTable{
-		{name: n.platform.ConfigTable, pollTimeout: max(time.Second, n.settings.ConfigTimeout-replyMargin)},
+		{
+			name: n.platform.ConfigTable, pollTimeout: max(time.Second, n.settings.ConfigTimeout-replyMargin),
+			sharedTimeout: max(time.Second, n.settings.ConfigTimeout/sharedPollShare),
+		},
 		{
 			name: n.platform.MemberTable, pollTimeout: max(time.Second, n.settings.DrainTimeout/2),
-			pollInterval: n.settings.DrainTimeout / memberPollShare,
+			pollInterval: n.settings.DrainTimeout / memberPollShare, sharedTimeout: max(time.Second, n.settings.DrainTimeout/sharedPollShare),
 		},
-		{name: groupTable, pollTimeout: recordPollTimeout},
+		{name: groupTable, pollTimeout: recordPollTimeout, sharedTimeout: sharedRecordTimeout},
 	}
 }
 
--- a/bbrnode/peer.go
+++ b/bbrnode/peer.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bluebellroute/bluebellroute/bbrfollow"
 	"github.com/bluebellroute/bluebellroute/bbrlink"
 	"github.com/bluebellroute/bluebellroute/bbrproof"
 	"github.com/bluebellroute/bluebellroute/bbrrendezvous"
@@ -68,9 +69,7 @@
 			candidates = append(candidates, bbrtype.InstanceID(p.Address))
 		}
 	}
-	// The key "speaker" stands for the proof delegate. It must be the same in all
-	// instances, or they would choose different delegates.
-	delegate := bbrrendezvous.Top("speaker", candidates, 1)[0]
+	delegate := bbrrendezvous.Top(bbrfollow.RankKey, candidates, 1)[0]
 	return string(delegate), delegate != self
 }
 
@@ -159,6 +158,9 @@
 // this one.
 func (n *Node) servePull(ctx context.Context, req bbrshare.Question) bbrshare.Knowledge {
 	n.applyRows(req.Rows)
+	if req.FollowFor > 0 {
+		return n.serveFollow(ctx, req)
+	}
 	groups := n.wantedGroups(req.Groups)
 	if req.RenewOlder > 0 && n.hasOlderProof(groups, req.RenewOlder) {
 		// If this fails, the reply contains the existing proofs with their actual
--- a/bbrnode/register.go
+++ b/bbrnode/register.go
@@ -66,7 +66,7 @@
 }
 
 // register writes the instance's entry to the store, again in each era of the store, and
-// reads the list of instances at intervals.
+// reads the list of instances at intervals while it follows the store.
 func (n *Node) register(ctx context.Context) {
 	registered := false
 	registeredEra := bbrrows.Era(0)
@@ -78,7 +78,10 @@
 		if era := n.currentEra().Era; !registered || era != registeredEra {
 			registered, registeredEra = n.writeEntry(ctx, era), era
 		}
-		n.listInstances(ctx)
+		if n.followsStore() {
+			n.listInstances(ctx)
+		}
+		n.refreshInstances()
 		if !registered {
 			interval = minListInterval
 		}
@@ -91,13 +94,21 @@
 
 // listInstances reads the list of instances from the store.
 func (n *Node) listInstances(ctx context.Context) {
-	rows, version, err := n.platform.Store.Read(ctx, instanceTable)
-	if err != nil {
+	if _, err := n.readWhole(ctx, instanceTable); err != nil {
 		n.log.WithError(err).Debug("cannot read the list of instances")
 		return
 	}
-	n.recordEra(version.Era)
-	n.applyInstances(rows)
+	n.refreshInstances()
+}
+
+// refreshInstances applies the known list of instances again. Whether an entry counts
+// depends on the time.
+func (n *Node) refreshInstances() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.loaded[instanceTable] {
+		n.applyInstances(n.mirror.Snapshot(instanceTable))
+	}
 }
 
 // writeEntry writes the instance's entry and reports whether it is written. An instance
@@ -155,10 +166,8 @@
 	}
 }
 
-// applyInstances applies the list of instances that was read from the store.
+// applyInstances applies the list of instances. n.mu must be held.
 func (n *Node) applyInstances(rows []bbrrows.Row) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
 	count := len(rows)
 	n.peers = n.peers[:0]
 	var others []bbrholder.Instance
--- a/bbrnode/run.go
+++ b/bbrnode/run.go
@@ -49,6 +49,7 @@
 	for _, t := range n.followedTables() {
 		n.runAsync(func() { n.followTable(serveCtx, t) })
 	}
+	n.runAsync(func() { n.followOthers(serveCtx) })
 	n.runAsync(func() { n.pullUnavailableTables(serveCtx) })
 	n.runAsync(func() { n.register(serveCtx) })
 	n.runAsync(func() { n.maintainGroups(serveCtx) })
--- a/bbrnode/watch.go
+++ b/bbrnode/watch.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/bluebellroute/bluebellroute/bbrfollow"
 	"github.com/bluebellroute/bluebellroute/bbrrows"
 	"github.com/bluebellroute/bluebellroute/bbrtype"
 )
@@ -28,6 +29,13 @@
 	// memberPollShare is how many polls for changes of the members' entries begin at most
 	// within the time after which a draining member must receive no more statements.
 	memberPollShare = 10
+	// sharedPollShare is how many polls of an instance that others follow end at least within
+	// the time after which a change has to take effect. The age of two polls, and the time
+	// to leave one follower that is silent, are below that time.
+	sharedPollShare = 4
+	// sharedRecordTimeout bounds the long polls of such an instance for changes of the groups'
+	// records.
+	sharedRecordTimeout = 5 * time.Second
 	// resumePollTimeout bounds the first poll after a failed one. The store may have been
 	// restored meanwhile, which its reply shows.
 	resumePollTimeout = time.Millisecond
@@ -45,20 +53,39 @@
 	// bounds the calls to the store while one row after the other changes, as when many
 	// members start.
 	pollInterval time.Duration
+	// sharedTimeout replaces pollTimeout where few instances follow the store for the others,
+	// who notice by the age of its polls that one is cut off.
+	sharedTimeout time.Duration
 }
 
-// followTable reads a table and then applies its changes until ctx ends.
+// pollTimeoutOf returns the bound of a long poll for changes of a table. Until the list of
+// instances is read, there may be many.
+func (n *Node) pollTimeoutOf(t followedTable) time.Duration {
+	if !n.isListed() || bbrfollow.AreMany(len(n.neighbours())+1) {
+		return t.sharedTimeout
+	}
+	return t.pollTimeout
+}
+
+// followTable reads a table and then applies its changes until ctx ends. It pauses while
+// this instance follows another one.
 func (n *Node) followTable(ctx context.Context, t followedTable) {
 	var cursor *bbrrows.Version
 	pause := minStoreBackoff
-	wait := t.pollTimeout
+	wait := n.pollTimeoutOf(t)
 	log := n.log.WithField("table", t.name)
 	for ctx.Err() == nil {
+		if cursor != nil && n.awaitDuty(ctx) {
+			cursor, wait = n.resumeCursor(t.name, *cursor), resumePollTimeout
+		}
 		startedAt := n.clock.Now()
 		next, err := n.readTable(ctx, t.name, cursor, wait)
 		if err == nil {
 			cursor = next
-			wait = t.pollTimeout
+			wait = n.pollTimeoutOf(t)
+			if next != nil {
+				n.recordTableRead(t.name, bbrfollow.TableRead{Version: *next, SentAt: startedAt})
+			}
 			if n.setUnavailable(t.name, false) {
 				log.Info("store regained")
 			}
@@ -125,6 +152,7 @@
 	}
 	n.log.WithFields(versionFields(version)).WithFields(logrus.Fields{"table": table, "rows": len(rows)}).Info("whole table read")
 	n.applyTable(table, rows, version)
+	n.recordTableRead(table, bbrfollow.TableRead{Version: version, SentAt: sentAt})
 	if table == groupTable {
 		n.recordRecordsRead(version, sentAt)
 	}
@@ -163,6 +191,7 @@
 	wasUnavailable := n.unavailable[table]
 	if unavailable {
 		n.unavailable[table] = true
+		n.tables.recordFailure(table, n.clock.Now())
 		n.directory.RecordReadFailure(n.clock.Now())
 	} else {
 		delete(n.unavailable, table)
@@ -177,6 +206,7 @@
 	defer n.mu.Unlock()
 	n.logIgnored(rows)
 	n.applyChanged(n.mirror.ApplySnapshot(table, rows, version))
+	n.tables.setComplete(table, version)
 	n.loaded[table] = true
 }
 
@@ -194,8 +224,11 @@
 
 // applyChanged applies rows that have changed. n.mu must be held.
 func (n *Node) applyChanged(rows []bbrrows.Row) {
+	instancesChanged := false
 	for _, r := range rows {
 		switch r.Table {
+		case instanceTable:
+			instancesChanged = true
 		case n.platform.ConfigTable:
 			n.applyCatalogue(r)
 		case n.platform.MemberTable:
@@ -204,7 +237,11 @@
 			n.applyRecord(r)
 		}
 	}
+	if instancesChanged {
+		n.applyInstances(n.mirror.Snapshot(instanceTable))
+	}
 	if len(rows) > 0 {
 		n.refreshGroups()
+		n.tables.notify()
 	}
 }
--- a/bbrrows/mirror.go
+++ b/bbrrows/mirror.go
@@ -87,3 +87,14 @@
 	}
 	return out
 }
+
+// Snapshot returns the rows of a table that exist.
+func (m *Mirror) Snapshot(table string) []Row {
+	var out []Row
+	for _, r := range m.tables[table] {
+		if !r.Deleted {
+			out = append(out, r)
+		}
+	}
+	return out
+}
--- a/bbrshare/share.go
+++ b/bbrshare/share.go
@@ -36,6 +36,22 @@
 	Rows   []bbrrows.Row
 	// Records is the newest read of the groups' records that the instance knows of.
 	Records RecordsRead
+	// Reads are how far the instance knows the tables that it was asked to follow.
+	Reads []TableRead
+}
+
+// TableRead is how far an instance knows a table of the store.
+type TableRead struct {
+	Table string
+	// Version is a version up to which all changes are known.
+	Version bbrrows.Version
+	// Age is how long before the question arrived the newest read was sent that showed such a
+	// version. It is negative if the read was sent while the question waited.
+	Age time.Duration
+	// IsWhole is set if the rows are the whole table, not the changes since a version.
+	IsWhole bool
+	// IsOmitted is set if the table has changed, and the rows are too large to be sent.
+	IsOmitted bool
 }
 
 // RecordsRead is a read of the table of the groups' records.
@@ -57,6 +73,9 @@
 	RenewOlder time.Duration
 	// Rows are rows that the asked instance is to know before it answers.
 	Rows []bbrrows.Row
+	// FollowFor asks to follow the store for the asker, and to answer as soon as a row of
+	// the tables has changed, after FollowFor at the latest. 0 means not to.
+	FollowFor time.Duration
 }
 
 // GroupPrimary is the primary that an instance uses for a group.
@@ -79,6 +98,7 @@
 // Pull implements the service.
 func (s *server) Pull(ctx context.Context, r *sharepb.PullRequest) (*sharepb.Knowledge, error) {
 	q := Question{Versions: Versions{}, RenewOlder: time.Duration(r.RenewOlderUs) * time.Microsecond}
+	q.FollowFor = min(max(0, time.Duration(r.FollowUs)*time.Microsecond), maxFollowFor)
 	for _, t := range r.Tables {
 		q.Versions[t.Table] = bbrrows.Version{Era: bbrrows.Era(t.Era), Number: t.Version}
 	}
@@ -99,7 +119,7 @@
 
 // Pull asks an instance at an address.
 func (c *Client) Pull(ctx context.Context, address string, q Question) (Knowledge, error) {
-	r := &sharepb.PullRequest{RenewOlderUs: q.RenewOlder.Microseconds()}
+	r := &sharepb.PullRequest{RenewOlderUs: q.RenewOlder.Microseconds(), FollowUs: q.FollowFor.Microseconds()}
 	for table, version := range q.Versions {
 		r.Tables = append(r.Tables, &sharepb.TableVersion{Table: table, Era: int64(version.Era), Version: version.Number})
 	}
@@ -129,6 +149,12 @@
 		out.RecordsEra, out.RecordsVersion = int64(k.Records.Version.Era), k.Records.Version.Number
 		out.RecordsAgoUs = max(1, k.Records.Age.Microseconds())
 	}
+	for _, r := range k.Reads {
+		out.Reads = append(out.Reads, &sharepb.TableRead{
+			Table: r.Table, Era: int64(r.Version.Era), Version: r.Version.Number,
+			AgoUs: r.Age.Microseconds(), Whole: r.IsWhole, Omitted: r.IsOmitted,
+		})
+	}
 	return out
 }
 
@@ -153,6 +179,9 @@
 	return out
 }
 
+// maxFollowFor bounds the time for which an answer may wait for changes.
+const maxFollowFor = 10 * time.Second
+
 // maxAge is the longest age that a message may state. An older proof is worthless.
 const maxAge = 10 * 365 * 24 * time.Hour
 
@@ -184,5 +213,14 @@
 			Age:     time.Duration(k.RecordsAgoUs+1) * time.Microsecond,
 		}
 	}
+	for _, r := range k.Reads {
+		if !isAge(r.AgoUs+maxFollowFor.Microseconds()) || r.Era < 0 || r.Version < 0 {
+			continue
+		}
+		out.Reads = append(out.Reads, TableRead{
+			Table: r.Table, Version: bbrrows.Version{Era: bbrrows.Era(r.Era), Number: r.Version},
+			Age: time.Duration(r.AgoUs+1) * time.Microsecond, IsWhole: r.Whole, IsOmitted: r.Omitted,
+		})
+	}
 	return out
 }
