--- a/bbrfollow/follow.go
+++ b/bbrfollow/follow.go
@@ -45,8 +45,8 @@
 	maxFollowers = 3
 	// leaveTime is how long a follower that was left is not asked.
 	leaveTime = 2 * time.Second
-	// ageMargin is how much older than its polls explain a follower's read may be: for
-	// slow replies.
+	// ageMargin is how much older a follower's read may be than it lets it become: for slow
+	// replies.
 	ageMargin = 500 * time.Millisecond
 )
 
@@ -114,17 +114,28 @@
 // TableReads holds the reads of tables by their names.
 type TableReads map[string]TableRead
 
-// TableLimits are the times of a follower's polls for changes of a table.
+// Refresh records that the store had a version by a request that was sent at sentAt: what is
+// known up to that version is as new as that request. The store counts its versions over all
+// tables.
+func (r TableReads) Refresh(version bbrrows.Version, sentAt bbrtype.Mono) {
+	for table, read := range r {
+		if read.Version.Era == version.Era && !version.IsNewerThan(read.Version) && sentAt > read.SentAt {
+			read.SentAt = sentAt
+			r[table] = read
+		}
+	}
+}
+
+// TableLimits are the times in which a follower learns of changes of a table.
 type TableLimits struct {
-	// PollTimeout bounds a poll, PollInterval is the least time between the beginnings of
-	// two.
-	PollTimeout, PollInterval time.Duration
+	// MaxReadAge is the age of its newest read above which it asks the store anew.
+	MaxReadAge time.Duration
+	// PollInterval is the least time between two questions.
+	PollInterval time.Duration
 }
 
-// MaxAge is the age up to which a follower's read of the table is used. A poll that waits
-// for changes shows them at its end only, and counts from its beginning: by the end of the
-// next one its age is that of both.
-func (l TableLimits) MaxAge() time.Duration { return 2*l.PollTimeout + l.PollInterval + ageMargin }
+// MaxAge is the age up to which a follower's read of the table is used.
+func (l TableLimits) MaxAge() time.Duration { return l.MaxReadAge + l.PollInterval + ageMargin }
 
 // Limits holds the limits of tables by their names.
 type Limits map[string]TableLimits
--- a/bbrfollow/follow_test.go
+++ b/bbrfollow/follow_test.go
@@ -98,7 +98,7 @@
 
 func TestJudge(t *testing.T) {
 	const now = bbrtype.Mono(time.Hour)
-	limits := Limits{"a": {PollTimeout: time.Second}, "b": {PollTimeout: 5 * time.Second, PollInterval: time.Second}}
+	limits := Limits{"a": {MaxReadAge: time.Second}, "b": {MaxReadAge: 5 * time.Second, PollInterval: time.Second}}
 	read := func(era bbrrows.Era, age time.Duration) TableRead {
 		return TableRead{Version: bbrrows.Version{Era: era, Number: 9}, SentAt: now.Add(-age)}
 	}
@@ -109,8 +109,8 @@
 		left time.Duration
 	}{
 		"fresh":                       {TableReads{"a": read(2, 0), "b": read(2, 0)}, ReasonNone, limits["a"].MaxAge()},
-		"as old as polls explain":     {TableReads{"a": read(2, 2450*time.Millisecond), "b": read(2, 11400*time.Millisecond)}, ReasonNone, 50 * time.Millisecond},
-		"one table too old":           {TableReads{"a": read(2, 2550*time.Millisecond), "b": read(2, 0)}, ReasonStale, 0},
+		"as old as may be":            {TableReads{"a": read(2, 1450*time.Millisecond), "b": read(2, 6400*time.Millisecond)}, ReasonNone, 50 * time.Millisecond},
+		"one table too old":           {TableReads{"a": read(2, 1550*time.Millisecond), "b": read(2, 0)}, ReasonStale, 0},
 		"one table missing":           {TableReads{"a": read(2, 0)}, ReasonNotFollowing, 0},
 		"nothing":                     {nil, ReasonNotFollowing, 0},
 		"of before a restore":         {TableReads{"a": read(1, 0), "b": read(2, 0)}, ReasonOldEra, limits["a"].MaxAge()},
@@ -126,3 +126,29 @@
 		})
 	}
 }
+
+// TestRefresh guards against a table that counts as read though it may have changed.
+func TestRefresh(t *testing.T) {
+	const old, now = bbrtype.Mono(time.Second), bbrtype.Mono(time.Minute)
+	tests := map[string]struct {
+		known, seen bbrrows.Version
+		want        bbrtype.Mono
+	}{
+		"nothing has changed":               {bbrrows.Version{Era: 1, Number: 7}, bbrrows.Version{Era: 1, Number: 7}, now},
+		"more is known of this table":       {bbrrows.Version{Era: 1, Number: 8}, bbrrows.Version{Era: 1, Number: 7}, now},
+		"something has changed":             {bbrrows.Version{Era: 1, Number: 7}, bbrrows.Version{Era: 1, Number: 8}, old},
+		"the store was restored":            {bbrrows.Version{Era: 1, Number: 7}, bbrrows.Version{Era: 2, Number: 7}, old},
+		"restored, and the number is lower": {bbrrows.Version{Era: 1, Number: 7}, bbrrows.Version{Era: 2, Number: 5}, old},
+		"a late reply of before a restore":  {bbrrows.Version{Era: 2, Number: 7}, bbrrows.Version{Era: 1, Number: 7}, old},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			reads := TableReads{"a": {Version: tt.known, SentAt: old}}
+			reads.Refresh(tt.seen, now)
+			is.Equal(reads["a"], TableRead{Version: tt.known, SentAt: tt.want})
+			reads.Refresh(tt.known, old-1)
+			is.Equal(reads["a"].SentAt, tt.want) // never older
+		})
+	}
+}
--- a/bbrnode/follow.go
+++ b/bbrnode/follow.go
@@ -53,6 +53,14 @@
 	}
 }
 
+// awaitChoice lets the instance read each table once, and then wait until followOthers has
+// chosen from where it learns of changes.
+func (n *Node) awaitChoice() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.tables.isPending = true
+}
+
 // selfID returns the id of this instance among the others.
 func (n *Node) selfID() bbrtype.InstanceID { return bbrtype.InstanceID(n.settings.PeerAddress) }
 
@@ -70,9 +78,9 @@
 }
 
 // returnToStore lets the instance follow the store, after a delay that differs between
-// instances if it did not so far.
+// instances if it followed another one so far.
 func (n *Node) returnToStore(ctx context.Context) {
-	if n.followsStore() {
+	if n.followsStore() || n.followed() == "" {
 		n.setFollowed("")
 		return
 	}
@@ -171,9 +179,9 @@
 
 // followLimits returns the limits of the tables that instances learn of from followers.
 func (n *Node) followLimits() bbrfollow.Limits {
-	limits := bbrfollow.Limits{instanceTable: {PollTimeout: 2 * maxListInterval}}
+	limits := bbrfollow.Limits{instanceTable: {MaxReadAge: 2 * maxListInterval}}
 	for _, t := range n.followedTables() {
-		limits[t.name] = bbrfollow.TableLimits{PollTimeout: t.sharedTimeout, PollInterval: t.pollInterval}
+		limits[t.name] = bbrfollow.TableLimits{MaxReadAge: t.sharedAge, PollInterval: t.pollInterval}
 	}
 	return limits
 }
--- a/bbrnode/news.go
+++ b/bbrnode/news.go
@@ -13,6 +13,10 @@
 // records, well below bbrproof.RecordsLease.
 const recordsRenewAge = 400 * time.Millisecond
 
+// fetchedRecordsAge is the age up to which a read that the proof delegate has told is used
+// instead of one of this instance's own. The delegate renews at recordsRenewAge.
+const fetchedRecordsAge = 550 * time.Millisecond
+
 // sharedReadWait bounds the time for which a proof delegate waits for a read of the records
 // before it replies. It is well below fetchProofsTimeout.
 const sharedReadWait = 60 * time.Millisecond
@@ -106,9 +110,11 @@
 		return
 	}
 	n.runAsync(func() {
-		// On an error the store is read instead.
-		_ = n.fetchRecords(ctx)
-		if !n.areRecordsOlder(recordsRenewAge) {
+		maxAge := fetchedRecordsAge
+		if n.fetchRecords(ctx) != nil {
+			maxAge = recordsRenewAge // no later read is expected in time
+		}
+		if !n.areRecordsOlder(maxAge) {
 			return
 		}
 		if err := n.readRecords(ctx); err != nil {
--- a/bbrnode/node.go
+++ b/bbrnode/node.go
@@ -209,13 +209,13 @@
 	return []followedTable{
 		{
 			name: n.platform.ConfigTable, pollTimeout: max(time.Second, n.settings.ConfigTimeout-replyMargin),
-			sharedTimeout: max(time.Second, n.settings.ConfigTimeout/sharedPollShare),
+			sharedAge: max(time.Second, n.settings.ConfigTimeout/2),
 		},
 		{
 			name: n.platform.MemberTable, pollTimeout: max(time.Second, n.settings.DrainTimeout/2),
-			pollInterval: n.settings.DrainTimeout / memberPollShare, sharedTimeout: max(time.Second, n.settings.DrainTimeout/sharedPollShare),
+			pollInterval: n.settings.DrainTimeout / memberPollShare, sharedAge: max(time.Second, n.settings.DrainTimeout/2),
 		},
-		{name: groupTable, pollTimeout: recordPollTimeout, sharedTimeout: sharedRecordTimeout},
+		{name: groupTable, pollTimeout: recordPollTimeout, sharedAge: sharedRecordAge},
 	}
 }
 
--- a/bbrnode/prove.go
+++ b/bbrnode/prove.go
@@ -60,6 +60,7 @@
 	n.recordEra(version.Era)
 	n.applyRows(rows)
 	n.recordRecordsRead(version, sentAt)
+	n.refreshTableReads(version, sentAt)
 	for _, g := range n.allGroups() {
 		p := g.Primary()
 		if bbrsuccession.ConfirmsTerm(n.knownRecord(g.Name()), version.Era, p.Term, n.clock.Now()) {
--- a/bbrnode/register.go
+++ b/bbrnode/register.go
@@ -78,7 +78,7 @@
 		if era := n.currentEra().Era; !registered || era != registeredEra {
 			registered, registeredEra = n.writeEntry(ctx, era), era
 		}
-		if n.followsStore() {
+		if !n.isListed() || n.followsStore() {
 			n.listInstances(ctx)
 		}
 		n.refreshInstances()
--- a/bbrnode/run.go
+++ b/bbrnode/run.go
@@ -46,6 +46,7 @@
 	if err := n.listenHTTP(serveCtx); err != nil {
 		return err
 	}
+	n.awaitChoice()
 	for _, t := range n.followedTables() {
 		n.runAsync(func() { n.followTable(serveCtx, t) })
 	}
--- a/bbrnode/storecall.go
+++ b/bbrnode/storecall.go
@@ -86,7 +86,7 @@
 		return outcomeCompacted
 	case errors.Is(err, bbrrows.ErrRejected):
 		return outcomeRejected
-	case errors.Is(err, context.Canceled):
+	case errors.Is(err, context.Canceled), errors.Is(err, errReadOld):
 		return outcomeCancelled
 	}
 	return outcomeFailed
--- a/bbrnode/tableread.go
+++ b/bbrnode/tableread.go
@@ -36,6 +36,8 @@
 	failingSince map[string]bbrtype.Mono
 	// follower is the instance that this one follows, "" if it follows the store.
 	follower bbrtype.InstanceID
+	// isPending is set until this instance has chosen from where it learns of changes.
+	isPending bool
 	// askedUntil is until when this instance follows the store for others.
 	askedUntil bbrtype.Mono
 	// changed is closed at the next change of any of these or of a row, nil if nobody
@@ -96,6 +98,7 @@
 	if read.Version.Era < n.storeEra.Era {
 		return
 	}
+	seen := read
 	if old.Version.IsNewerThan(read.Version) {
 		read.Version = old.Version
 	}
@@ -104,10 +107,19 @@
 		n.tables.reads = bbrfollow.TableReads{}
 	}
 	n.tables.reads[table] = read
+	n.tables.reads.Refresh(seen.Version, seen.SentAt)
 	delete(n.tables.failingSince, table)
 	n.tables.notify()
 }
 
+// refreshTableReads records that the store had a version by a request that was sent at
+// sentAt.
+func (n *Node) refreshTableReads(version bbrrows.Version, sentAt bbrtype.Mono) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.tables.reads.Refresh(version, sentAt)
+}
+
 // tableReads returns how far the tables are known.
 func (n *Node) tableReads() bbrfollow.TableReads {
 	n.mu.Lock()
@@ -136,8 +148,8 @@
 func (n *Node) setFollowed(id bbrtype.InstanceID) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.tables.follower != id {
-		n.tables.follower = id
+	if n.tables.follower != id || n.tables.isPending {
+		n.tables.follower, n.tables.isPending = id, false
 		n.tables.notify()
 	}
 }
@@ -151,7 +163,7 @@
 
 // isOnDuty is followsStore with n.mu held.
 func (n *Node) isOnDuty() bool {
-	return n.tables.follower == "" || n.clock.Now() < n.tables.askedUntil
+	return n.tables.follower == "" && !n.tables.isPending || n.clock.Now() < n.tables.askedUntil
 }
 
 // awaitDuty waits until this instance follows the store, and reports whether it did not at
--- a/bbrnode/watch.go
+++ b/bbrnode/watch.go
@@ -29,13 +29,11 @@
 	// memberPollShare is how many polls for changes of the members' entries begin at most
 	// within the time after which a draining member must receive no more statements.
 	memberPollShare = 10
-	// sharedPollShare is how many polls of an instance that others follow end at least within
-	// the time after which a change has to take effect. The age of two polls, and the time
-	// to leave one follower that is silent, are below that time.
-	sharedPollShare = 4
-	// sharedRecordTimeout bounds the long polls of such an instance for changes of the groups'
-	// records.
-	sharedRecordTimeout = 5 * time.Second
+	// sharedPollTimeout bounds the long polls of an instance that others follow.
+	sharedPollTimeout = 12 * time.Second
+	// sharedRecordAge is the age above which such an instance asks for changes of the groups'
+	// records anew.
+	sharedRecordAge = 5 * time.Second
 	// resumePollTimeout bounds the first poll after a failed one. The store may have been
 	// restored meanwhile, which its reply shows.
 	resumePollTimeout = time.Millisecond
@@ -53,20 +51,47 @@
 	// bounds the calls to the store while one row after the other changes, as when many
 	// members start.
 	pollInterval time.Duration
-	// sharedTimeout replaces pollTimeout where few instances follow the store for the others,
-	// who notice by the age of its polls that one is cut off.
-	sharedTimeout time.Duration
+	// sharedAge is the age above which an instance that others follow asks for changes anew,
+	// though a long poll is in progress.
+	sharedAge time.Duration
 }
 
-// pollTimeoutOf returns the bound of a long poll for changes of a table. Until the list of
-// instances is read, there may be many.
+// pollTimeoutOf returns the bound of a long poll for changes of a table.
 func (n *Node) pollTimeoutOf(t followedTable) time.Duration {
-	if !n.isListed() || bbrfollow.AreMany(len(n.neighbours())+1) {
-		return t.sharedTimeout
+	if n.mayBeFollowed() {
+		return sharedPollTimeout
 	}
 	return t.pollTimeout
 }
 
+// mayBeFollowed reports whether others may follow this instance. Until the list of instances
+// is read, there may be many.
+func (n *Node) mayBeFollowed() bool {
+	return !n.isListed() || bbrfollow.AreMany(len(n.neighbours())+1)
+}
+
+// errReadOld means that a long poll was given up because what is known of the table is old.
+var errReadOld = errors.New("the table was not read for too long")
+
+// withinAge returns a context that ends with errReadOld once the newest read of a table is
+// older than others may use.
+func (n *Node) withinAge(ctx context.Context, t followedTable) (context.Context, context.CancelCauseFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	if !n.mayBeFollowed() {
+		return ctx, cancel
+	}
+	n.runAsync(func() {
+		for startedAt := n.clock.Now(); ctx.Err() == nil; {
+			left := max(startedAt, n.tableReads()[t.name].SentAt).Add(t.sharedAge).Sub(n.clock.Now())
+			if left <= 0 {
+				cancel(errReadOld)
+			}
+			bbrtype.Sleep(ctx, left)
+		}
+	})
+	return ctx, cancel
+}
+
 // followTable reads a table and then applies its changes until ctx ends. It pauses while
 // this instance follows another one.
 func (n *Node) followTable(ctx context.Context, t followedTable) {
@@ -79,7 +104,14 @@
 			cursor, wait = n.resumeCursor(t.name, *cursor), resumePollTimeout
 		}
 		startedAt := n.clock.Now()
-		next, err := n.readTable(ctx, t.name, cursor, wait)
+		pollCtx, cancel := n.withinAge(ctx, t)
+		next, err := n.readTable(pollCtx, t.name, cursor, wait)
+		isOld := err != nil && errors.Is(context.Cause(pollCtx), errReadOld)
+		cancel(nil)
+		if isOld {
+			wait = resumePollTimeout
+			continue
+		}
 		if err == nil {
 			cursor = next
 			wait = n.pollTimeoutOf(t)
