--- a/bbrnode/collector.go
+++ b/bbrnode/collector.go
@@ -9,6 +9,8 @@
 	sessionsDesc         = prometheus.NewDesc("bbr_node_sessions", "Open sessions of callers.", nil, nil)
 	instancesDesc        = prometheus.NewDesc("bbr_node_instances", "Instances that the store lists.", nil, nil)
 	tableUnavailableDesc = prometheus.NewDesc("bbr_node_table_lost", "1 while the store does not answer for a table.", []string{"table"}, nil)
+	followsStoreDesc     = prometheus.NewDesc("bbr_node_follows_store", "1 while this instance follows the store, for itself or for others.", nil, nil)
+	tableAgeDesc         = prometheus.NewDesc("bbr_node_table_age_seconds", "Age of the newest read of the store that showed what is known of a table.", []string{"table"}, nil)
 	storeEraDesc         = prometheus.NewDesc("bbr_node_store_era", "Newest era of the store that was seen; it rises each time the store is restored.", nil, nil)
 	unconfirmedDesc      = prometheus.NewDesc("bbr_node_groups_unconfirmed", "Groups whose records are not confirmed in the store's era.", nil, nil)
 	forwardedDesc        = prometheus.NewDesc("bbr_node_forwarded", "Statements in progress and open transactions that other instances forwarded to this one.", nil, nil)
@@ -27,7 +29,7 @@
 
 // Describe implements prometheus.Collector.
 func (c collector) Describe(out chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{versionDesc, sessionsDesc, instancesDesc, tableUnavailableDesc, storeEraDesc, unconfirmedDesc, forwardedDesc, holderDesc, waitingDesc, connectionsDesc, dialsDesc, straysDesc, termDesc, ordersDesc, proofAgeDesc} {
+	for _, d := range []*prometheus.Desc{versionDesc, sessionsDesc, instancesDesc, tableUnavailableDesc, followsStoreDesc, tableAgeDesc, storeEraDesc, unconfirmedDesc, forwardedDesc, holderDesc, waitingDesc, connectionsDesc, dialsDesc, straysDesc, termDesc, ordersDesc, proofAgeDesc} {
 		out <- d
 	}
 }
@@ -50,6 +52,16 @@
 		}
 		gauge(tableUnavailableDesc, value, t.name)
 	}
+	followsStore := 0.0
+	if n.followsStore() {
+		followsStore = 1
+	}
+	gauge(followsStoreDesc, followsStore)
+	reads, now := n.tableReads(), n.clock.Now()
+	for table := range n.followLimits() {
+		// A table that was not read is as old as the instance's clock.
+		gauge(tableAgeDesc, now.Sub(reads[table].SentAt).Seconds(), table)
+	}
 	gauge(storeEraDesc, float64(n.currentEra().Era))
 	_, unconfirmed := n.confirmableRecords(n.clock.Now())
 	gauge(unconfirmedDesc, float64(unconfirmed))
