First reads of an instance from a seed

Change: an instance that starts asks a seed for the tables, for at most 0.4 s; a seed that is asked reads the store at once and replies when it knows all of them. Where the seed lists few instances it tells nothing, and the store is read as before.

--- a/bbrnode/follow.go
+++ b/bbrnode/follow.go
@@ -27,6 +27,13 @@
 	// sourceInterval is the interval at which an instance that follows the store checks
 	// whether it is to follow another instance.
 	sourceInterval = 500 * time.Millisecond
+	// seedWait is how long a seed may take to read the store for an instance that starts.
+	seedWait = 200 * time.Millisecond
+	// seedTimeout bounds the time for which an instance that starts asks seeds, before it
+	// reads the store itself.
+	seedTimeout = 400 * time.Millisecond
+	// seedRetryDelay is the delay before the next seed is asked.
+	seedRetryDelay = 30 * time.Millisecond
 	// storeSpread is the time over which instances without a follower spread their return
 	// to the store, and their reads of what a follower has omitted.
 	storeSpread = 200 * time.Millisecond
@@ -35,6 +42,7 @@
 // followOthers chooses from where this instance learns of changes, and follows another
 // instance while that is the choice, until ctx ends.
 func (n *Node) followOthers(ctx context.Context) {
+	n.startFromSeed(ctx)
 	n.awaitFleet(ctx)
 	var left bbrfollow.Left
 	for ctx.Err() == nil {
@@ -53,12 +61,52 @@
 	}
 }
 
-// awaitChoice lets the instance read each table once, and then wait until followOthers has
-// chosen from where it learns of changes.
+// awaitChoice lets the instance wait for the reply of a seed before it reads each table once,
+// and then until followOthers has chosen from where it learns of changes.
 func (n *Node) awaitChoice() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.tables.isPending = true
+	n.tables.isStarting = len(n.settings.PeerSeeds) > 0
+}
+
+// startFromSeed asks seeds for the tables, so that instances that start together do not all
+// read them from the store. A seed that is asked reads the store at once.
+func (n *Node) startFromSeed(ctx context.Context) {
+	defer n.endStart()
+	seeds := n.settings.PeerSeeds
+	if len(seeds) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, seedTimeout)
+	defer cancel()
+	for i := rand.IntN(len(seeds)); ctx.Err() == nil; i++ {
+		seed := seeds[i%len(seeds)]
+		isTold, err := n.askSeed(ctx, seed)
+		if err == nil {
+			n.log.WithFields(logrus.Fields{"seed": seed, "told": isTold}).Info("seed asked for the tables")
+			return
+		}
+		bbrtype.Sleep(ctx, seedRetryDelay)
+	}
+	n.log.Info("no seed has replied; reading the tables from the store")
+}
+
+// askSeed asks a seed for the tables, and reports whether it told them all. It tells none if
+// there are few instances.
+func (n *Node) askSeed(ctx context.Context, seed string) (isTold bool, err error) {
+	limits := n.followLimits()
+	delete(limits, instanceTable) // the list is not complete yet
+	q := bbrshare.Question{FollowFor: seedWait, Versions: n.readVersions(limits)}
+	ctx, cancel := context.WithTimeout(ctx, seedWait+followReplyMargin/2)
+	defer cancel()
+	sentAt := n.clock.Now()
+	reply, err := n.peerClient.Pull(ctx, seed, q)
+	if err != nil {
+		return false, err
+	}
+	reads := n.applyFollowed(ctx, q, reply, sentAt)
+	return bbrfollow.Judge(limits, reads, n.currentEra().Era, n.clock.Now()) == bbrfollow.ReasonNone, nil
 }
 
 // selfID returns the id of this instance among the others.
@@ -186,13 +234,19 @@
 	return limits
 }
 
-// readVersions returns the versions up to which the tables are known, zero for a table that
-// is not.
+// unknownVersion is asked for in place of the version of a table that is not known: it is
+// older than that of a store without any row.
+var unknownVersion = bbrrows.Version{Number: -1}
+
+// readVersions returns the versions up to which the tables are known.
 func (n *Node) readVersions(limits bbrfollow.Limits) bbrshare.Versions {
 	reads := n.tableReads()
 	out := bbrshare.Versions{}
 	for table := range limits {
-		out[table] = reads[table].Version
+		out[table] = unknownVersion
+		if read, ok := reads[table]; ok {
+			out[table] = read.Version
+		}
 	}
 	return out
 }
--- a/bbrnode/follow_test.go
+++ b/bbrnode/follow_test.go
@@ -149,7 +149,7 @@
 func (f *testFleet) start(ctx context.Context, t *testing.T, i int) {
 	instance := &testInstance{Node: newTestNode(), store: &unsteadyStore{Store: f.store}}
 	n := instance.Node
-	n.platform.Store = instance.store
+	n.platform.Store = countedStore{store: instance.store, calls: n.metrics.storeCalls}
 	n.platform.DecodeMember = func(id string, value []byte) (bbrdirectory.Member, error) {
 		return bbrdirectory.Member{ID: bbrtype.MemberName(id), Group: "orders", Draining: string(value) == `"draining"`}, nil
 	}
@@ -179,6 +179,9 @@
 	})
 	instance.address = server.Listener.Addr().String()
 	n.settings.PeerAddress = instance.address
+	if i > 0 {
+		n.settings.PeerSeeds = []string{f.instances[0].address}
+	}
 	f.instances = append(f.instances, instance)
 }
 
@@ -255,8 +258,11 @@
 	is := is.New(t)
 	f := newFleet(t, fleetSize)
 	f.awaitFollowing(t)
-	time.Sleep(time.Second) // polls that have begun end
 	ranked := f.ranked()
+	for _, i := range ranked[1:] {
+		waitUntil(t, func() bool { return !i.followsStore() }) // asked as a seed, or before the list was read
+	}
+	time.Sleep(time.Second) // polls that have begun end
 	var before []int
 	for _, i := range ranked {
 		before = append(before, i.store.callCount())
@@ -450,3 +456,63 @@
 	is.Equal(n.followInstance(context.Background(), bbrtype.InstanceID(address)), bbrfollow.ReasonNotFollowing)
 	is.Equal(n.followed(), bbrtype.InstanceID(""))
 }
+
+// TestAllStart guards against a store that all instances read at once when they start
+// together: those that are no seeds have the tables from one.
+func TestAllStart(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, fleetSize)
+	f.setMember(t, "ready")
+	awaitMember(t, f.instances, "ready")
+	f.awaitFollowing(t)
+	read := 0
+	for _, i := range f.instances {
+		counts := storeCallCounts(is, i.Node)
+		for call, count := range counts {
+			if call[0] == string(callRead) && call[1] != instanceTable {
+				read += int(count)
+			}
+		}
+	}
+	is.Equal(read, len(f.instances[0].followedTables())) // by the seed
+}
+
+// TestStartWithoutSeeds guards against an instance that does not start because its seeds do
+// not reply, or that waits for one.
+func TestStartWithoutSeeds(t *testing.T) {
+	silent := instanceThat(doesNotRespond)
+	tests := map[string]struct {
+		seeds []func(*testing.T, *memoryStore) string
+	}{
+		"no seeds":               {},
+		"it has ended":           {seeds: []func(*testing.T, *memoryStore) string{endedInstance}},
+		"none replies":           {seeds: []func(*testing.T, *memoryStore) string{silent, silent, silent}},
+		"it knows nothing":       {seeds: []func(*testing.T, *memoryStore) string{instanceThat(knowsNothing)}},
+		"all but one have ended": {seeds: []func(*testing.T, *memoryStore) string{endedInstance, endedInstance, instanceThat(readsTheStore)}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			store := &memoryStore{}
+			store.put(is, "members", "m1", "ready")
+			n := newTestNode()
+			n.platform.Store = store
+			n.platform.DecodeMember = func(id string, _ []byte) (bbrdirectory.Member, error) {
+				return bbrdirectory.Member{ID: bbrtype.MemberName(id), Group: "orders"}, nil
+			}
+			n.settings.Name, n.settings.PeerAddress = "i1", "10.0.0.1:1"
+			n.settings.ConfigTimeout, n.settings.DrainTimeout = 4*time.Second, 4*time.Second
+			n.peerClient = bbrshare.NewClient(&http.Transport{})
+			for _, seed := range tt.seeds {
+				n.settings.PeerSeeds = append(n.settings.PeerSeeds, seed(t, store))
+			}
+			instance := &testInstance{Node: n}
+			ctx, cancel := context.WithCancel(context.Background())
+			defer func() { cancel(); _ = n.background.Wait() }()
+			startedAt := time.Now()
+			instance.run(ctx)
+			awaitMember(t, []*testInstance{instance}, "ready")
+			is.True(time.Since(startedAt) < 2*seedTimeout)
+		})
+	}
+}
--- a/bbrnode/tableread.go
+++ b/bbrnode/tableread.go
@@ -38,6 +38,8 @@
 	follower bbrtype.InstanceID
 	// isPending is set until this instance has chosen from where it learns of changes.
 	isPending bool
+	// isStarting is set until a seed has replied, or none has in time.
+	isStarting bool
 	// askedUntil is until when this instance follows the store for others.
 	askedUntil bbrtype.Mono
 	// changed is closed at the next change of any of these or of a row, nil if nobody
@@ -166,6 +168,35 @@
 	return n.tables.follower == "" && !n.tables.isPending || n.clock.Now() < n.tables.askedUntil
 }
 
+// endStart records that the instance waits for no seed any more.
+func (n *Node) endStart() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.tables.isStarting = false
+	n.tables.notify()
+}
+
+// awaitSeed waits, while the instance starts, until a seed has replied or another instance
+// asks this one. It returns the version of the table that a seed has told, nil if none has.
+func (n *Node) awaitSeed(ctx context.Context, table string) *bbrrows.Version {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for n.tables.isStarting && n.tables.askedUntil == 0 && ctx.Err() == nil {
+		changed := n.tables.next()
+		n.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+		n.mu.Lock()
+	}
+	if !n.loaded[table] {
+		return nil
+	}
+	version := n.tables.reads[table].Version
+	return &version
+}
+
 // awaitDuty waits until this instance follows the store, and reports whether it did not at
 // first.
 func (n *Node) awaitDuty(ctx context.Context) (waited bool) {
@@ -196,8 +227,12 @@
 	return &cursor
 }
 
-// serveFollow replies to an instance that follows this one.
+// serveFollow replies to an instance that follows this one, or that starts. Where there are few
+// instances, all follow the store.
 func (n *Node) serveFollow(ctx context.Context, q bbrshare.Question) (reply bbrshare.Knowledge) {
+	if !n.mayBeFollowed() {
+		return reply
+	}
 	arrivedAt := n.clock.Now()
 	n.awaitChange(ctx, q)
 	n.mu.Lock()
@@ -222,7 +257,13 @@
 		n.tables.notify()
 	}
 	wasStale := n.isStale(q, limits)
-	for ctx.Err() == nil && !n.stopping && !n.hasChanged(q) && (!wasStale || n.isStale(q, limits)) {
+	isDone := func() bool {
+		if wasStale {
+			return !n.isStale(q, limits)
+		}
+		return n.hasChanged(q)
+	}
+	for ctx.Err() == nil && !n.stopping && !isDone() {
 		changed := n.tables.next()
 		n.mu.Unlock()
 		select {
--- a/bbrnode/watch.go
+++ b/bbrnode/watch.go
@@ -95,7 +95,7 @@
 // followTable reads a table and then applies its changes until ctx ends. It pauses while
 // this instance follows another one.
 func (n *Node) followTable(ctx context.Context, t followedTable) {
-	var cursor *bbrrows.Version
+	cursor := n.awaitSeed(ctx, t.name)
 	pause := minStoreBackoff
 	wait := n.pollTimeoutOf(t)
 	log := n.log.WithField("table", t.name)
