--- a/bbrnode/node.go
+++ b/bbrnode/node.go
@@ -123,6 +123,7 @@
 	// peers are the other instances that the store lists.
 	peers  []instanceEntry
 	mirror bbrrows.Mirror
+	tables tableReads
 	// loaded holds the tables that have been read from the store in full.
 	// unavailable holds the tables that cannot be read from the store at present.
 	loaded      map[string]bool
@@ -209,12 +210,15 @@
 // followedTables returns the tables that the instance follows.
 func (n *Node) followedTables() []followedTable {
 	return []followedTable{
-		{name: n.platform.ConfigTable, pollTimeout: max(time.Second, n.settings.ConfigTimeout-replyMargin)},
+		{
+			name: n.platform.ConfigTable, pollTimeout: max(time.Second, n.settings.ConfigTimeout-replyMargin),
+			sharedAge: max(time.Second, n.settings.ConfigTimeout/2),
+		},
 		{
 			name: n.platform.MemberTable, pollTimeout: max(time.Second, n.settings.DrainTimeout/2),
-			pollInterval: n.settings.DrainTimeout / memberPollShare,
+			pollInterval: n.settings.DrainTimeout / memberPollShare, sharedAge: max(time.Second, n.settings.DrainTimeout/2),
 		},
-		{name: groupTable, pollTimeout: recordPollTimeout},
+		{name: groupTable, pollTimeout: recordPollTimeout, sharedAge: sharedRecordAge},
 	}
 }
 
