--- a/bbradmit/queue.go
+++ b/bbradmit/queue.go
@@ -23,6 +23,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bluebellroute/bluebellroute/bbrfair"
 	"github.com/bluebellroute/bluebellroute/bbrtype"
 )
 
@@ -53,7 +54,7 @@
 	OnGrant func()
 
 	// virtualFinish is the virtual finish time of fair queueing.
-	virtualFinish float64
+	virtualFinish bbrfair.Time
 	seq           uint64
 	// heapIndex is the index in the heap of the level.
 	heapIndex int
@@ -74,11 +75,9 @@
 // level holds the waiters of one priority, ordered by virtual finish time.
 type level struct {
 	heap waiterHeap
-	// virtualTime is the virtual time of the level: the virtual finish time of the
-	// waiter that Pop or PopAllowed removed last.
-	virtualTime float64
-	// lastFinish is the latest virtual finish time of each tenant.
-	lastFinish map[bbrtype.TenantName]float64
+	// clock is at the virtual finish time of the waiter that Pop or PopAllowed removed
+	// last.
+	clock bbrfair.Clock
 }
 
 // Len returns the number of waiters.
@@ -96,12 +95,8 @@
 		return ErrQueueFull
 	}
 	l := &q.levels[min(max(w.Priority, 0), numPriorities-1)]
-	if l.lastFinish == nil {
-		l.lastFinish = map[bbrtype.TenantName]float64{}
-	}
-	start := max(l.virtualTime, l.lastFinish[w.Tenant])
-	w.virtualFinish = start + 1/float64(max(w.Weight, 1))
-	l.lastFinish[w.Tenant] = w.virtualFinish
+	w.virtualFinish = l.clock.Next(w.Tenant, w.Weight)
+	l.clock.Assign(w.Tenant, w.virtualFinish)
 	q.seq++
 	w.seq = q.seq
 	w.queued = true
@@ -119,7 +114,7 @@
 		l := q.nextLevel()
 		w := l.heap[0]
 		q.remove(l, w)
-		l.virtualTime = w.virtualFinish
+		l.clock.Advance(w.virtualFinish)
 		if w.Deadline >= now {
 			q.pops++
 			return w
@@ -149,7 +144,7 @@
 		}
 		if first != nil {
 			q.remove(l, first)
-			l.virtualTime = max(l.virtualTime, first.virtualFinish)
+			l.clock.Advance(first.virtualFinish)
 			return first
 		}
 	}
@@ -196,8 +191,7 @@
 	if len(l.heap) == 0 {
 		// The level is empty. The finish times are reset, so that earlier admissions of
 		// a tenant do not delay its next ones.
-		clear(l.lastFinish)
-		l.virtualTime = 0
+		l.clock.Reset()
 	}
 }
 
--- a/bbrholder/holder.go
+++ b/bbrholder/holder.go
@@ -156,5 +156,14 @@
 	return Share{Connections: n, InFlight: max(1, min(n, divideUp(inFlightPerSlot*max(1, slots), holders))), KeepsIdle: true}
 }
 
+// Senders returns the number of instances that send statements to members that accept
+// maxConnections: all of them, or one of each data centre where connections are scarce.
+func (f *Fleet) Senders(maxConnections int) int {
+	if f.IsScarce(maxConnections) {
+		return len(f.byDataCentre)
+	}
+	return len(f.all)
+}
+
 // divideUp divides and rounds up.
 func divideUp(a, b int) int { return (a + b - 1) / b }
--- a/bbrlink/control.go
+++ b/bbrlink/control.go
@@ -57,6 +57,7 @@
 		return bbrmessage.MemberStatus{}, err
 	}
 	defer g.Release(c)
+	sentAt := g.Clock.Now()
 	status, err := c.RunControl(time.Now().Add(controlTimeout), text(c.Dialect()))
 	switch {
 	case errors.Is(err, ErrUnattributed), errors.As(err, new(*bbrmessage.Failure)):
@@ -66,9 +67,18 @@
 		return status, err
 	}
 	g.recordReachable(id)
+	g.recordLoad(id, status.ActiveStatements, sentAt)
 	return status, nil
 }
 
+// recordLoad records the number of statements that a member was executing according to its
+// status.
+func (g *Group) recordLoad(id bbrtype.MemberName, active int, sentAt bbrtype.Mono) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.scheduler.RecordLoad(id, active, sentAt)
+}
+
 // recordReachable records that a member replied.
 func (g *Group) recordReachable(id bbrtype.MemberName) {
 	g.mu.Lock()
--- a/bbrlink/group.go
+++ b/bbrlink/group.go
@@ -62,6 +62,10 @@
 	// Share returns this instance's share in a member of the group that runs slots
 	// statements at a time, under the group's limit of connections.
 	Share func(group bbrtype.GroupName, maxConnections, slots int) bbrholder.Share
+	// Sharing returns the instances that send statements to members of a group that accept
+	// maxConnections, if their load is to be spread (see bbrplace.Scheduler.SetSharing).
+	// With nil it is not.
+	Sharing func(group bbrtype.GroupName, maxConnections int) bbrplace.Sharing
 	// ProveFromStore queries the store for changes of primary that have begun, and
 	// passes the resulting proofs to RecordStoreProof. On an error there is no proof.
 	ProveFromStore func(ctx context.Context) error
@@ -148,6 +152,7 @@
 	// replicaLeftAt is when this instance last saw that a leaving replica was gone.
 	replicaLeftAt bbrtype.Mono
 	demotedSince  bbrtype.Mono
+	refused       refusedLog
 }
 
 // Primary is the member that this instance currently treats as the group's primary,
@@ -216,6 +221,7 @@
 			g.firstListed[m.ID] = g.Clock.Now()
 			delete(g.received, m.ID)
 			g.closeIdleTo(m.ID)
+			g.scheduler.RecordReturn(m.ID, g.Clock.Now())
 		}
 	}
 	for id := range g.members {
@@ -276,6 +282,9 @@
 // refreshSchedulerLocked is RefreshScheduler without the lock. The caller holds mu.
 func (g *Group) refreshSchedulerLocked() {
 	usable := g.Clock.Now() >= g.primary.UsableFrom
+	if g.Sharing != nil {
+		g.scheduler.SetSharing(g.Sharing(g.name, g.settings.MaxConnections))
+	}
 	for id, m := range g.members {
 		share := g.shareIn(m)
 		limit := share.Connections
--- a/bbrlink/pool.go
+++ b/bbrlink/pool.go
@@ -64,7 +64,7 @@
 	case id := <-granted:
 		return g.connect(ctx, id)
 	case reason := <-rejected:
-		return nil, rejectError(reason)
+		return nil, g.reject(req, rejectError(reason))
 	default:
 	}
 	timer := time.NewTimer(req.Deadline.Sub(now))
@@ -73,12 +73,12 @@
 	case id := <-granted:
 		return g.connect(ctx, id)
 	case reason := <-rejected:
-		return nil, rejectError(reason)
+		return nil, g.reject(req, rejectError(reason))
 	case <-timer.C:
 	case <-ctx.Done():
 	}
 	g.cancelWait(w, granted)
-	return nil, ErrAcquireTimeout
+	return nil, g.reject(req, ErrAcquireTimeout)
 }
 
 // rejectError returns the error for a statement that the scheduler rejected.
--- a/bbrnode/node.go
+++ b/bbrnode/node.go
@@ -292,7 +292,7 @@
 			}
 			g = bbrlink.NewGroup(name, bbrlink.Deps{
 				Dial: n.platform.DialMember, Clock: n.clock, Log: n.log, Tasks: n.background,
-				DataCentre: n.settings.DataCentre, DrainTimeout: n.settings.DrainTimeout, Share: n.share, MayHaveConfirmed: n.mayHaveConfirmed, SeenMembers: n.seenMembers, IsChanging: n.isChanging, OrderedMembers: n.orderedMembers,
+				DataCentre: n.settings.DataCentre, DrainTimeout: n.settings.DrainTimeout, Share: n.share, Sharing: n.sharing, MayHaveConfirmed: n.mayHaveConfirmed, SeenMembers: n.seenMembers, IsChanging: n.isChanging, OrderedMembers: n.orderedMembers,
 				RecordsReadAt:  n.recordsReadAt,
 				ProveFromStore: n.proveFromStore, FetchPeerProofs: n.fetchPeerProofs,
 			})
--- a/bbrnode/settings.go
+++ b/bbrnode/settings.go
@@ -37,7 +37,9 @@
 	ConfigTimeout, DrainTimeout time.Duration
 	// GracePeriod is the time from the signal to stop to the exit of the process.
 	GracePeriod time.Duration
-	LogLevel    logrus.Level
+	// EvenLoad is for which groups the members' load is spread evenly.
+	EvenLoad EvenLoad
+	LogLevel logrus.Level
 }
 
 // LoadSettings reads and checks a settings file.
@@ -91,6 +93,9 @@
 	s.ConfigTimeout = r.Duration("configuration", 3*time.Second)
 	s.DrainTimeout = r.Duration("drain", 7*time.Second)
 	r.Finish()
+	r = bbrini.NewReader(file, f.Section("scheduling"), &problems)
+	s.EvenLoad = bbrini.Choice(r, "evenLoad", EvenLoadForwarded, EvenLoadForwarded, EvenLoadAlways, EvenLoadNever)
+	r.Finish()
 	r = bbrini.NewReader(file, f.Section("log"), &problems)
 	level := bbrini.Choice(r, "level", "info", "debug", "info", "warn", "error")
 	r.Finish()
--- a/bbrplace/load_test.go
+++ b/bbrplace/load_test.go
@@ -26,6 +26,9 @@
 	replicasDraining window
 	// noPrimary is the window in which the group has no primary.
 	noPrimary window
+	// laggingReplicas is the window in which the replicas reject all reads because they lag.
+	laggingReplicas window
+	spread
 	// fifo disables latency objectives, rejections and limits above the base value, for
 	// comparison. Within a priority, statements then wait in order of arrival until
 	// their timeout.
@@ -74,6 +77,13 @@
 	// lowestInTimeFraction is the lowest fraction of operations in time at one
 	// instance.
 	lowestInTimeFraction float64
+	// rejected counts the attempts that were rejected before their timeout.
+	rejected int
+	// lostStatements counts the statements to which a member did not reply.
+	lostStatements int
+	// busiestToMean is the mean over all windows of the statements that the busiest
+	// member got, as a ratio to the mean of the members.
+	busiestToMean float64
 }
 
 func (s stats) fraction(n int) float64 { return float64(n) / float64(s.operations) }
@@ -98,6 +108,7 @@
 	callerRNG, memberRNG *rand.Rand
 	stats
 	operationsByInstance, inTimeByInstance []int
+	memberLoad
 }
 
 // operation is one statement of a caller, with its retries.
@@ -106,6 +117,8 @@
 	instance int
 	arrived  time.Duration
 	attempts int
+	// attemptedAt is when the newest attempt began.
+	attemptedAt time.Duration
 }
 
 type event struct {
@@ -149,6 +162,7 @@
 	for range w.callerFractions {
 		s.schedulers = append(s.schedulers, &Scheduler{})
 	}
+	s.startReports()
 	s.setMembers()
 	for _, at := range []time.Duration{w.replicasDraining.from, w.replicasDraining.to, w.noPrimary.from, w.noPrimary.to} {
 		s.after(at, s.setMembers)
@@ -161,6 +175,7 @@
 		s.now = e.at
 		e.run()
 	}
+	s.busiestToMean = s.meanBusiest()
 	s.lowestInTimeFraction = 1
 	for i := range w.callerFractions {
 		s.lowestInTimeFraction = min(s.lowestInTimeFraction, float64(s.inTimeByInstance[i])/float64(s.operationsByInstance[i]))
@@ -221,20 +236,31 @@
 // attempt runs one attempt of an operation.
 func (s *simulation) attempt(o *operation) {
 	o.attempts++
+	o.attemptedAt = s.now
+	s.submit(o)
+}
+
+// submit chooses a member for an attempt.
+func (s *simulation) submit(o *operation) {
+	if s.policy == twoChoices {
+		s.send(o, s.betterOfTwo())
+		return
+	}
 	done := false
 	w := &Waiter{
 		Requirements: Requirements{
 			PrimaryOnly: o.class.primaryOnly, Priority: o.class.priority, LatencyObjective: o.class.objective,
-			SoftDeadline: s.clock().Add(o.class.objective), Deadline: s.clock().Add(o.class.timeout),
+			MinPosition:  position(2),
+			SoftDeadline: start.Add(o.attemptedAt + o.class.objective), Deadline: start.Add(o.attemptedAt + o.class.timeout),
 		},
 		OnGrant:  func(id bbrtype.MemberName) { done = true; s.send(o, id) },
-		OnReject: func(RejectReason) { done = true; s.retry(o) },
+		OnReject: func(RejectReason) { done = true; s.rejected++; s.retry(o) },
 	}
 	if s.fifo {
 		w.SoftDeadline, w.LatencyObjective, w.OnReject = 0, 0, nil
 	}
 	s.schedulers[o.instance].Submit(w, s.clock())
-	s.after(o.class.timeout, func() {
+	s.after(o.attemptedAt+o.class.timeout-s.now, func() {
 		if !done && s.schedulers[o.instance].Remove(w) {
 			s.timedOut++
 			s.retry(o)
@@ -259,6 +285,10 @@
 }
 
 func (s *simulation) send(o *operation, id bbrtype.MemberName) {
+	s.countArrival(id)
+	if s.isLost(o, id) || s.isLagging(o, id) {
+		return
+	}
 	s.queues[id] = append(s.queues[id], request{o, s.now})
 	s.serve(id)
 }
@@ -270,7 +300,7 @@
 		s.queues[id] = s.queues[id][1:]
 		s.busy[id]++
 		variation := math.Exp(0.5 * s.memberRNG.NormFloat64())
-		s.after(time.Duration(variation*float64(r.class.serviceTime)), func() { s.finish(r, id) })
+		s.after(time.Duration(variation*s.slowness(id)*float64(r.class.serviceTime)), func() { s.finish(r, id) })
 	}
 }
 
@@ -326,6 +356,11 @@
 			workload:  workload{callerFractions: unevenCallers, operationsPerSecond: 190, classes: typicalClasses, duration: 20 * time.Second, replicasDraining: always},
 			minInTime: 0.55, minLowestInTime: 0.4, maxFailed: 0.15, minGain: 0.2,
 		},
+		// The primary gets 1.3 times what it can do, because all replicas lag.
+		"replicas lag": {
+			workload:  workload{callerFractions: evenCallers, operationsPerSecond: 190, classes: typicalClasses, duration: 20 * time.Second, laggingReplicas: always},
+			minInTime: 0.55, minLowestInTime: 0.4, maxFailed: 0.15, minGain: 0.2,
+		},
 		"no primary for one second": {
 			workload:  workload{callerFractions: evenCallers, operationsPerSecond: 200, classes: typicalClasses, duration: 10 * time.Second, noPrimary: window{4 * time.Second, 5 * time.Second}},
 			minInTime: 0.93, minLowestInTime: 0.9, maxFailed: 0.02,
--- a/bbrplace/queue.go
+++ b/bbrplace/queue.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/bluebellroute/bluebellroute/bbrfair"
 	"github.com/bluebellroute/bluebellroute/bbrmessage"
 	"github.com/bluebellroute/bluebellroute/bbrtype"
 )
@@ -72,6 +73,9 @@
 	// RejectOverload means that the members have more statements in flight and queued
 	// than they can serve in time.
 	RejectOverload RejectReason = "overload"
+	// RejectQueueFull means that the queue is full, and that this statement comes first in
+	// the order of rejection.
+	RejectQueueFull RejectReason = "queueFull"
 	// RejectConnectionsRefused means that all eligible members refuse connections of
 	// this instance, and it has none open.
 	RejectConnectionsRefused RejectReason = "connectionsRefused"
@@ -84,7 +88,9 @@
 // rejects it.
 func (s *Scheduler) Submit(w *Waiter, now bbrtype.Mono) {
 	if m := s.pick(&w.Requirements, now); m != nil {
+		m.beginLagTrial(&w.Requirements, now)
 		m.acquire(now)
+		s.granted(w, now)
 		w.OnGrant(m.ID)
 		return
 	}
@@ -95,11 +101,24 @@
 			return
 		}
 	}
+	s.enqueue(w, now)
+}
+
+// enqueue adds a statement to the queue. If the queue is full, one statement is rejected.
+func (s *Scheduler) enqueue(w *Waiter, now bbrtype.Mono) {
 	s.seq++
 	w.seq = s.seq
-	w.queued = true
-	i, _ := slices.BinarySearchFunc(s.queue, w, compareWaiters)
-	s.queue = slices.Insert(s.queue, i, w)
+	victim := s.evict(w)
+	if victim != w {
+		w.queued = true
+		i, _ := slices.BinarySearchFunc(s.queue, w, compareWaiters)
+		s.queue = slices.Insert(s.queue, i, w)
+		s.enqueued(w, now)
+	}
+	if victim != nil {
+		s.Remove(victim)
+		victim.OnReject(RejectQueueFull)
+	}
 }
 
 // compareWaiters orders by priority, then by latency objective, then by arrival.
@@ -113,7 +132,7 @@
 	return compare(a.seq, b.seq)
 }
 
-func compare[T time.Duration | uint64](a, b T) int {
+func compare[T time.Duration | uint64 | bbrfair.Time](a, b T) int {
 	if a < b {
 		return -1
 	}
@@ -134,7 +153,7 @@
 func (s *Scheduler) minLatency(r *Requirements, now bbrtype.Mono) time.Duration {
 	lowest := time.Duration(0)
 	for _, m := range s.members {
-		if m.isAvailable(r, now) && (lowest == 0 || m.latency < lowest) {
+		if s.serves(m, r, now) && (lowest == 0 || m.latency < lowest) {
 			lowest = m.latency
 		}
 	}
@@ -149,6 +168,7 @@
 		return false
 	}
 	w.queued = false
+	s.dequeued(w)
 	s.queue = slices.DeleteFunc(s.queue, func(o *Waiter) bool { return o == w })
 	return true
 }
@@ -175,15 +195,13 @@
 // eligible members all refuse connections.
 func (s *Scheduler) Dispatch(now bbrtype.Mono) {
 	d := dispatchPass{scheduler: s, now: now}
-	for priority, remaining := 0, s.queue; len(remaining) > 0; {
-		priority = remaining[0].Priority
-		n := slices.IndexFunc(remaining, func(w *Waiter) bool { return w.Priority != priority })
-		if n < 0 {
-			n = len(remaining)
-		}
-		d.process(remaining[:n], false)
-		d.process(remaining[:n], true)
-		remaining = remaining[n:]
+	for _, waiters := range s.starving(now) {
+		d.grantOne(waiters)
+	}
+	for _, waiters := range byPriority(s.queue) {
+		onTime, late := d.split(waiters)
+		d.process(onTime, false)
+		d.process(late, true)
 	}
 	s.queue = slices.DeleteFunc(s.queue, func(w *Waiter) bool { return !w.queued })
 	for _, m := range s.members {
@@ -204,29 +222,69 @@
 	callbacks []func()
 }
 
-// process grants members to the statements of one priority or rejects them. If late
-// is set, it handles only late statements, else only statements that are not late.
-func (d *dispatchPass) process(waiters []*Waiter, late bool) {
+// split splits the statements of one priority into those that are not late and those that
+// are, each in the order in which they are granted.
+func (d *dispatchPass) split(waiters []*Waiter) (onTime, late []*Waiter) {
 	for _, w := range waiters {
-		if d.scheduler.willBeLate(w, d.now) != late {
-			continue
+		switch {
+		case !w.queued:
+		case d.scheduler.willBeLate(w, d.now):
+			late = append(late, w)
+		default:
+			onTime = append(onTime, w)
 		}
-		if m := d.scheduler.pick(&w.Requirements, d.now); m != nil {
-			m.acquire(d.now)
+	}
+	return d.scheduler.order(onTime), d.scheduler.order(late)
+}
+
+// process grants members to the statements of one priority or rejects them. late is set
+// if they are late.
+func (d *dispatchPass) process(waiters []*Waiter, late bool) {
+	for _, w := range waiters {
+		if d.grant(w) {
 			if late {
 				d.scheduler.lastLateGrant = d.now
 			}
-			w.queued = false
-			id := m.ID
-			d.callbacks = append(d.callbacks, func() { w.OnGrant(id) })
 		} else if reason, ok := d.shouldReject(w, late); ok {
-			w.queued = false
+			d.dequeue(w)
 			d.scheduler.recordRejection(&w.Requirements, d.now)
 			d.callbacks = append(d.callbacks, func() { w.OnReject(reason) })
 		}
 	}
 }
 
+// grantOne grants a member to the first of the statements of one priority that one has
+// capacity for.
+func (d *dispatchPass) grantOne(waiters []*Waiter) {
+	onTime, late := d.split(waiters)
+	for _, w := range append(onTime, late...) {
+		if d.grant(w) {
+			return
+		}
+	}
+}
+
+// grant grants a member to a statement. It returns false if none has capacity.
+func (d *dispatchPass) grant(w *Waiter) bool {
+	m := d.scheduler.pick(&w.Requirements, d.now)
+	if m == nil {
+		return false
+	}
+	m.beginLagTrial(&w.Requirements, d.now)
+	m.acquire(d.now)
+	d.scheduler.granted(w, d.now)
+	d.dequeue(w)
+	id := m.ID
+	d.callbacks = append(d.callbacks, func() { w.OnGrant(id) })
+	return true
+}
+
+// dequeue marks a statement as no longer queued. Dispatch removes it after the pass.
+func (d *dispatchPass) dequeue(w *Waiter) {
+	w.queued = false
+	d.scheduler.dequeued(w)
+}
+
 // shouldReject reports whether a queued statement is rejected, and why.
 func (d *dispatchPass) shouldReject(w *Waiter, late bool) (RejectReason, bool) {
 	switch {
@@ -244,7 +302,7 @@
 func (s *Scheduler) isSaturated(r *Requirements, atLeast time.Duration, now bbrtype.Mono) bool {
 	found := false
 	for _, m := range s.members {
-		if !m.isAvailable(r, now) {
+		if !s.serves(m, r, now) {
 			continue
 		}
 		if m.saturatedSince == 0 || now.Sub(m.saturatedSince) < atLeast {
@@ -298,21 +356,30 @@
 	return RejectOverload, replyAt > w.Deadline || replyAt > w.SoftDeadline && s.shouldRejectLate(&w.Requirements, now)
 }
 
-// expectedReplyTime estimates the time until the reply to a new statement, from the
-// latency of the members and the number of statements ahead of it in the queue. It
-// returns false if no member has any capacity because idle transactions use all
-// connections: the end of these transactions can't be predicted.
-func (s *Scheduler) expectedReplyTime(r *Requirements, now bbrtype.Mono) (time.Duration, bool) {
+// waitingBefore returns the number of queued statements that come before a new one.
+func (s *Scheduler) waitingBefore(r *Requirements, now bbrtype.Mono) int {
 	ahead := 0
 	for _, o := range s.queue {
-		if o.Priority < r.Priority || o.Priority == r.Priority && o.LatencyObjective <= r.LatencyObjective && !s.willBeLate(o, now) {
+		if o.Priority < r.Priority || r.Tenant == "" && o.Priority == r.Priority && o.LatencyObjective <= r.LatencyObjective && !s.willBeLate(o, now) {
 			ahead++
 		}
 	}
+	if r.Tenant != "" {
+		ahead += s.turnsBefore(r, now)
+	}
+	return ahead
+}
+
+// expectedReplyTime estimates the time until the reply to a new statement, from the
+// latency of the members and the number of statements ahead of it in the queue. It
+// returns false if no member has any capacity because idle transactions use all
+// connections: the end of these transactions can't be predicted.
+func (s *Scheduler) expectedReplyTime(r *Requirements, now bbrtype.Mono) (time.Duration, bool) {
+	ahead := s.waitingBefore(r, now)
 	// statementsPerHour is the throughput of the members as a whole number.
 	statementsPerHour, latency := time.Duration(0), time.Duration(0)
 	for _, m := range s.members {
-		if m.isAvailable(r, now) {
+		if s.serves(m, r, now) {
 			statementsPerHour += time.Duration(m.capacity(now)) * time.Hour / max(m.latency, time.Millisecond)
 			latency = max(latency, m.latency)
 		}
--- a/bbrplace/scheduler.go
+++ b/bbrplace/scheduler.go
@@ -15,6 +15,13 @@
 //     centre and for opening a connection. The cost of the primary is multiplied
 //     by primaryCostFactor, to keep its capacity for statements that only the
 //     primary can run.
+//   - If other instances send statements to the same members (see SetSharing), the
+//     member is drawn at random instead, so that instances which know the same do not
+//     all choose the same member. The statements that the others probably have in
+//     flight are divided so that the costs become equal; the probability of a member is
+//     its part. With few statements in flight this is the member with the lowest cost.
+//   - A member that fails part of its statements is ejected: it gets one statement at a
+//     time as a trial, and after several replies in a row its load rises step by step.
 //   - A statement for which no eligible member has capacity waits in a queue. The
 //     queue is ordered by priority. Within a priority, statements that are not
 //     late are scheduled before late ones, and shorter latency objectives before
@@ -33,6 +40,7 @@
 package bbrplace
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -43,21 +51,6 @@
 const (
 	// initialLatency is the latency assumed of a member before its first reply.
 	initialLatency = 20 * time.Millisecond
-	// remotePenalty is added to the cost of a member in another data centre, beyond
-	// the higher latency, because traffic between data centres is expensive.
-	remotePenalty = 4 * time.Millisecond
-	// connectPenalty is added to the cost of a member to which a connection would
-	// have to be opened, because the member spends capacity on opening it.
-	connectPenalty = 14 * time.Millisecond
-	// primaryCostFactor multiplies the cost of the primary for statements that replicas
-	// can run.
-	primaryCostFactor = 1.6
-	// lagPause is how long a replica that rejected a read at a log position gets no
-	// reads at this or a later position. The pause doubles with each further
-	// rejection.
-	lagPause = 100 * time.Millisecond
-	// maxLagDoublings limits the number of doublings of lagPause.
-	maxLagDoublings = 3
 	// connRefusedPause is how long a member is paused after it refused a connection
 	// while this instance had no open connection to it. The pause doubles with each
 	// further refusal.
@@ -107,8 +100,13 @@
 	openConns int
 	// idleConns is the number of unused connections of each tenant.
 	idleConns map[bbrtype.TenantName]int
-	// latency is the moving average of the time to a reply.
-	latency time.Duration
+	// latency is the moving average of the time to a reply. latencyAt is when it was last
+	// updated.
+	latency   time.Duration
+	latencyAt bbrtype.Mono
+	// load is what the member last reported of its load.
+	load loadReport
+	ejection
 	// appliedPosition is the latest log position in a reply of the member.
 	appliedPosition bbrmessage.LogPosition
 	// lagPosition and lagRejectedAt are the position and the time of the last read
@@ -142,6 +140,15 @@
 	seq uint64
 	// lastLateGrant is when a member was last granted to a late statement.
 	lastLateGrant bbrtype.Mono
+	sharing       Sharing
+	// concurrency is the moving average of the number of statements that this instance has
+	// in flight at members that may serve a statement.
+	concurrency float64
+	// rng draws the member of a statement.
+	rng *rand.Rand
+	// ejections counts how many times a member was ejected.
+	ejections uint64
+	fairness
 }
 
 // SetMember adds or updates a member. The member's adaptive limit is reset if its
@@ -165,23 +172,6 @@
 // RemoveMember removes a member.
 func (s *Scheduler) RemoveMember(id bbrtype.MemberName) { delete(s.members, id) }
 
-// pick returns the member with the lowest cost among those that are available for
-// a statement and have capacity, nil if there is no such member.
-func (s *Scheduler) pick(r *Requirements, now bbrtype.Mono) *memberState {
-	var best *memberState
-	var bestCost time.Duration
-	for _, m := range s.members {
-		if !m.isAvailable(r, now) || !m.hasCapacity(now) {
-			continue
-		}
-		cost := m.cost(r)
-		if best == nil || cost < bestCost || cost == bestCost && m.ID < best.ID {
-			best, bestCost = m, cost
-		}
-	}
-	return best
-}
-
 // isAvailable reports whether the member is eligible for a statement and not paused.
 // A pause does not apply to statements that no other member can run.
 func (m *memberState) isAvailable(r *Requirements, now bbrtype.Mono) bool {
@@ -224,36 +214,6 @@
 	return max(0, min(m.adaptiveLimit.value(), connections-m.idleInTransaction))
 }
 
-// mayHaveApplied reports whether a replica is expected to have applied a log
-// position. It is true until the replica rejects a read because it lags. After
-// that, the replica gets reads at the rejected position or a later one only after a
-// pause, or when a reply shows that it has applied the position.
-func (m *memberState) mayHaveApplied(position bbrmessage.LogPosition, now bbrtype.Mono) bool {
-	if !m.appliedPosition.IsBefore(position) {
-		return true
-	}
-	if m.lagPosition.IsZero() || position.IsBefore(m.lagPosition) {
-		return true
-	}
-	return now.Sub(m.lagRejectedAt) > lagPause<<max(0, min(m.lagRejections-1, maxLagDoublings))
-}
-
-// cost returns the expected latency of a statement at the member, with penalties
-// for the primary, for another data centre and for opening a connection.
-func (m *memberState) cost(r *Requirements) time.Duration {
-	cost := m.latency * time.Duration(1+m.inFlight)
-	if m.Primary && !r.PrimaryOnly {
-		cost = time.Duration(float64(cost) * primaryCostFactor)
-	}
-	if !m.SameDataCentre {
-		cost += remotePenalty
-	}
-	if !m.hasConnection(r) {
-		cost += connectPenalty
-	}
-	return cost
-}
-
 // hasConnection reports whether an unused connection to the member is open on which a
 // statement may run.
 func (m *memberState) hasConnection(r *Requirements) bool {
@@ -308,19 +268,12 @@
 	}
 	m.lagRejections, m.connRefusals = 0, 0
 	m.latency += time.Duration(latencySmoothing * float64(latency-m.latency))
+	m.latencyAt = now
+	m.ejection.recordReply(now)
 	m.adaptiveLimit.recordLatency(m.latency, now)
 	m.appliedPosition = bbrmessage.LaterPosition(m.appliedPosition, applied)
 }
 
-// RecordLagging records that a replica rejected a read because the replica lags: it
-// has not applied the log position that the read requires.
-func (s *Scheduler) RecordLagging(id bbrtype.MemberName, position bbrmessage.LogPosition, now bbrtype.Mono) {
-	if m := s.members[id]; m != nil {
-		m.lagPosition, m.lagRejectedAt = position, now
-		m.lagRejections++
-	}
-}
-
 // RecordBusy records that a member rejected a statement because the member was busy.
 func (s *Scheduler) RecordBusy(id bbrtype.MemberName, now bbrtype.Mono) {
 	if m := s.members[id]; m != nil {
@@ -357,6 +310,8 @@
 func (s *Scheduler) RecordNoReply(id bbrtype.MemberName, now bbrtype.Mono) {
 	if m := s.members[id]; m != nil {
 		m.pausedUntil = now.Add(noReplyPause)
+		m.ejection.recordFailure()
+		s.ejectFailing(m, now)
 	}
 }
 
