Reject late statements that would wait until their deadline

In an overload of seconds, statements that are late wait until their deadline, although the rate of grants to late ones shows that they get no turn. Reject them at once, without raising the limits at the members, as the raised limits let statements queue where their order is not kept.

Members that fail part of their statements are ejected; trials and rejections are counted in metrics, with a log line of the members' load.

--- a/bbrlink/group.go
+++ b/bbrlink/group.go
@@ -152,7 +152,7 @@
 	// replicaLeftAt is when this instance last saw that a leaving replica was gone.
 	replicaLeftAt bbrtype.Mono
 	demotedSince  bbrtype.Mono
-	refused       refusedLog
+	refused       refusals
 }
 
 // Primary is the member that this instance currently treats as the group's primary,
--- a/bbrlink/pool.go
+++ b/bbrlink/pool.go
@@ -64,7 +64,7 @@
 	case id := <-granted:
 		return g.connect(ctx, id)
 	case reason := <-rejected:
-		return nil, g.reject(req, rejectError(reason))
+		return nil, g.reject(req, reason)
 	default:
 	}
 	timer := time.NewTimer(req.Deadline.Sub(now))
@@ -73,20 +73,12 @@
 	case id := <-granted:
 		return g.connect(ctx, id)
 	case reason := <-rejected:
-		return nil, g.reject(req, rejectError(reason))
+		return nil, g.reject(req, reason)
 	case <-timer.C:
 	case <-ctx.Done():
 	}
 	g.cancelWait(w, granted)
-	return nil, g.reject(req, ErrAcquireTimeout)
-}
-
-// rejectError returns the error for a statement that the scheduler rejected.
-func rejectError(reason bbrplace.RejectReason) error {
-	if reason == bbrplace.RejectConnectionsRefused {
-		return ErrConnectionsRefused
-	}
-	return ErrOverloaded
+	return nil, g.reject(req, reasonTimeout)
 }
 
 // cancelWait withdraws a queued statement, and releases its slot if one was granted
--- a/bbrlink/refused.go
+++ b/bbrlink/refused.go
@@ -1,6 +1,7 @@
 package bbrlink
 
 import (
+	"maps"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -13,30 +14,60 @@
 // that got no slot.
 const refusedLogInterval = time.Second
 
-// refusedLog counts the statements that got no slot since the last log line.
-type refusedLog struct {
-	at    bbrtype.Mono
-	count int
+// reasonTimeout is the reason of statements that waited until their deadline.
+const reasonTimeout bbrplace.RejectReason = "timeout"
+
+// refusals counts the statements that got no slot.
+type refusals struct {
+	byReason map[string]uint64
+	// loggedAt is when the last line was logged, unlogged the number of statements since.
+	loggedAt bbrtype.Mono
+	unlogged int
 }
 
-// logRefused logs the members' load after a statement got no slot, at most once in
-// refusedLogInterval. The caller holds mu.
-func (g *Group) logRefused(req bbrplace.Requirements, err error, now bbrtype.Mono) {
-	g.refused.count++
-	if g.refused.at != 0 && now.Sub(g.refused.at) < refusedLogInterval {
-		return
+// reject counts a statement that got no slot and returns the error to report. It logs the
+// members' load, at most once in refusedLogInterval.
+func (g *Group) reject(req bbrplace.Requirements, reason bbrplace.RejectReason) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.refused.byReason == nil {
+		g.refused.byReason = map[string]uint64{}
 	}
-	g.Log.WithFields(logrus.Fields{
-		"group": g.name, "statements": g.refused.count, "cause": err.Error(), "primaryOnly": req.PrimaryOnly, "minPosition": req.MinPosition,
-		"waiting": g.scheduler.QueueLen(), "members": g.scheduler.MemberLoads(now),
-	}).Info("no slot for statements")
-	g.refused = refusedLog{at: now}
+	g.refused.byReason[string(reason)]++
+	g.refused.unlogged++
+	now := g.Clock.Now()
+	if g.refused.loggedAt == 0 || now.Sub(g.refused.loggedAt) >= refusedLogInterval {
+		g.Log.WithFields(logrus.Fields{
+			"group": g.name, "statements": g.refused.unlogged, "reason": reason, "primaryOnly": req.PrimaryOnly, "minPosition": req.MinPosition,
+			"waiting": g.scheduler.QueueLen(), "members": g.scheduler.MemberLoads(now),
+		}).Info("no slot for statements")
+		g.refused.loggedAt, g.refused.unlogged = now, 0
+	}
+	return rejectError(reason)
+}
+
+// rejectError returns the error for a statement that got no slot.
+func rejectError(reason bbrplace.RejectReason) error {
+	switch reason {
+	case reasonTimeout:
+		return ErrAcquireTimeout
+	case bbrplace.RejectConnectionsRefused:
+		return ErrConnectionsRefused
+	}
+	return ErrOverloaded
+}
+
+// MemberLoads returns what this instance knows of the members' load.
+func (g *Group) MemberLoads() []bbrplace.MemberLoad {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.scheduler.MemberLoads(g.Clock.Now())
 }
 
-// reject logs that a statement got no slot because of err, and returns err.
-func (g *Group) reject(req bbrplace.Requirements, err error) error {
+// Rejections returns the number of statements that got no slot, by reason, and the number
+// of times that a member was ejected.
+func (g *Group) Rejections() (byReason map[string]uint64, ejections uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.logRefused(req, err, g.Clock.Now())
-	return err
+	return maps.Clone(g.refused.byReason), g.scheduler.Ejections()
 }
--- a/bbrnode/collector.go
+++ b/bbrnode/collector.go
@@ -1,6 +1,10 @@
 package bbrnode
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/bluebellroute/bluebellroute/bbrlink"
+)
 
 // Descriptions of the metrics that are computed from the instance's state at each
 // scrape.
@@ -17,6 +21,10 @@
 	connectionsDesc      = prometheus.NewDesc("bbr_node_group_connections", "Open connections to members.", []string{"group"}, nil)
 	dialsDesc            = prometheus.NewDesc("bbr_node_group_dials_total", "Attempts to open a connection to a member, by result.", []string{"group", "result"}, nil)
 	straysDesc           = prometheus.NewDesc("bbr_node_group_stray_replies_total", "Replies of members that belong to no statement in progress, by kind.", []string{"group", "kind"}, nil)
+	grantedDesc          = prometheus.NewDesc("bbr_node_member_granted_total", "Statements that were granted a member.", []string{"group", "member"}, nil)
+	inFlightDesc         = prometheus.NewDesc("bbr_node_member_in_flight", "Statements of this instance in flight at a member.", []string{"group", "member"}, nil)
+	ejectionsDesc        = prometheus.NewDesc("bbr_node_group_ejections_total", "Times that a member was ejected because it failed part of its statements.", []string{"group"}, nil)
+	rejectedDesc         = prometheus.NewDesc("bbr_node_group_rejected_total", "Statements that got no slot at a member, by reason.", []string{"group", "reason"}, nil)
 	termDesc             = prometheus.NewDesc("bbr_node_group_term", "Term of the primary in use, 0 if none is known.", []string{"group"}, nil)
 	ordersDesc           = prometheus.NewDesc("bbr_node_group_orders", "Promotions of the group's members that may still take effect.", []string{"group"}, nil)
 	proofAgeDesc         = prometheus.NewDesc("bbr_node_group_proof_age_seconds", "Age of the newest proof of the primary in use.", []string{"group"}, nil)
@@ -27,7 +35,7 @@
 
 // Describe implements prometheus.Collector.
 func (c collector) Describe(out chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{versionDesc, sessionsDesc, instancesDesc, tableUnavailableDesc, storeEraDesc, unconfirmedDesc, forwardedDesc, holderDesc, waitingDesc, connectionsDesc, dialsDesc, straysDesc, termDesc, ordersDesc, proofAgeDesc} {
+	for _, d := range []*prometheus.Desc{versionDesc, sessionsDesc, instancesDesc, tableUnavailableDesc, storeEraDesc, unconfirmedDesc, forwardedDesc, holderDesc, waitingDesc, connectionsDesc, dialsDesc, straysDesc, grantedDesc, inFlightDesc, ejectionsDesc, rejectedDesc, termDesc, ordersDesc, proofAgeDesc} {
 		out <- d
 	}
 }
@@ -71,9 +79,28 @@
 		for kind, count := range g.Strays() {
 			out <- prometheus.MustNewConstMetric(straysDesc, prometheus.CounterValue, float64(count), name, string(kind))
 		}
+		c.collectLoad(out, g)
 		proof := g.ExportProof()
 		gauge(termDesc, float64(proof.Term), name)
 		gauge(ordersDesc, float64(len(n.knownRecord(g.Name()).PendingOrders(n.clock.Now()))), name)
 		gauge(proofAgeDesc, proof.ProofAge.Seconds(), name)
 	}
 }
+
+// collectLoad exports the load of a group's members and the statements that got no slot. An
+// instance that has sent a member nothing exports no series for it.
+func (c collector) collectLoad(out chan<- prometheus.Metric, g *bbrlink.Group) {
+	name := string(g.Name())
+	for _, m := range g.MemberLoads() {
+		if m.Granted == 0 {
+			continue
+		}
+		out <- prometheus.MustNewConstMetric(grantedDesc, prometheus.CounterValue, float64(m.Granted), name, string(m.Member))
+		out <- prometheus.MustNewConstMetric(inFlightDesc, prometheus.GaugeValue, float64(m.InFlight), name, string(m.Member))
+	}
+	byReason, ejections := g.Rejections()
+	out <- prometheus.MustNewConstMetric(ejectionsDesc, prometheus.CounterValue, float64(ejections), name)
+	for reason, count := range byReason {
+		out <- prometheus.MustNewConstMetric(rejectedDesc, prometheus.CounterValue, float64(count), name, reason)
+	}
+}
--- a/bbrplace/ejection.go
+++ b/bbrplace/ejection.go
@@ -11,17 +11,17 @@
 
 const (
 	// failureSmoothing is the smoothing factor of the fraction of failed statements.
-	failureSmoothing = 0.1
+	failureSmoothing = 0.2
 	// maxFailureFraction is the fraction of failed statements above which a member is
 	// ejected.
-	maxFailureFraction = 0.2
+	maxFailureFraction = 0.3
 	// trialInterval is the time between two trials of an ejected member, doubled with
 	// each trial that fails.
 	trialInterval = 250 * time.Millisecond
 	// maxTrialDoublings limits the number of doublings of trialInterval.
 	maxTrialDoublings = 3
 	// trialsToReturn is how many trials in a row must succeed before a member returns.
-	trialsToReturn = 3
+	trialsToReturn = 8
 	// returnStep is the time in which the number of statements that a returning member
 	// may have in flight doubles, from 1.
 	returnStep = 200 * time.Millisecond
@@ -48,7 +48,7 @@
 	// failures is the moving average of the fraction of failed statements.
 	failures float64
 	// nextTrial is when the next trial may begin. succeeded counts the trials in a row
-	// that succeeded, failed those that failed.
+	// that succeeded, failed all that failed since the member was ejected.
 	nextTrial         bbrtype.Mono
 	succeeded, failed int
 	returningSince    bbrtype.Mono
@@ -60,7 +60,6 @@
 	if e.mode != ModeTrial {
 		return
 	}
-	e.failed = 0
 	e.nextTrial = now
 	if e.succeeded++; e.succeeded >= trialsToReturn {
 		e.beginReturn(now)
--- a/bbrplace/queue.go
+++ b/bbrplace/queue.go
@@ -73,6 +73,9 @@
 	// RejectOverload means that the members have more statements in flight and queued
 	// than they can serve in time.
 	RejectOverload RejectReason = "overload"
+	// RejectLate means that the statement is late, and that more statements are late than
+	// the members can serve beside those that are not.
+	RejectLate RejectReason = "late"
 	// RejectQueueFull means that the queue is full, and that this statement comes first in
 	// the order of rejection.
 	RejectQueueFull RejectReason = "queueFull"
@@ -142,12 +145,6 @@
 	return 0
 }
 
-// willBeLate reports whether a statement is late: the expected reply would miss the
-// latency objective even if the statement were sent now.
-func (s *Scheduler) willBeLate(w *Waiter, now bbrtype.Mono) bool {
-	return w.SoftDeadline != 0 && now.Add(s.minLatency(&w.Requirements, now)) > w.SoftDeadline
-}
-
 // minLatency returns the lowest latency of the members that are available for a
 // statement, 0 if there is no such member.
 func (s *Scheduler) minLatency(r *Requirements, now bbrtype.Mono) time.Duration {
@@ -185,6 +182,7 @@
 // acquire counts a statement as in flight at the member.
 func (m *memberState) acquire(now bbrtype.Mono) {
 	m.inFlight++
+	m.granted++
 	if m.saturatedSince == 0 && !m.hasCapacity(now) {
 		m.saturatedSince = now
 	}
@@ -240,15 +238,20 @@
 // process grants members to the statements of one priority or rejects them. late is set
 // if they are late.
 func (d *dispatchPass) process(waiters []*Waiter, late bool) {
+	ahead := 0
 	for _, w := range waiters {
 		if d.grant(w) {
 			if late {
-				d.scheduler.lastLateGrant = d.now
+				d.scheduler.recordLateGrant(d.now)
 			}
-		} else if reason, ok := d.shouldReject(w, late); ok {
+		} else if reason, ok := d.shouldReject(w, late, ahead); ok {
 			d.dequeue(w)
-			d.scheduler.recordRejection(&w.Requirements, d.now)
+			if reason != RejectLate {
+				d.scheduler.recordRejection(&w.Requirements, d.now)
+			}
 			d.callbacks = append(d.callbacks, func() { w.OnReject(reason) })
+		} else {
+			ahead++
 		}
 	}
 }
@@ -285,15 +288,20 @@
 	d.scheduler.dequeued(w)
 }
 
-// shouldReject reports whether a queued statement is rejected, and why.
-func (d *dispatchPass) shouldReject(w *Waiter, late bool) (RejectReason, bool) {
+// shouldReject reports whether a queued statement is rejected, and why. ahead is the number
+// of statements of its priority that come before it and are late if it is.
+func (d *dispatchPass) shouldReject(w *Waiter, late bool, ahead int) (RejectReason, bool) {
 	switch {
 	case w.OnReject == nil:
 		return "", false
 	case d.scheduler.allRefuseConnections(&w.Requirements, d.now):
 		return RejectConnectionsRefused, true
 	}
-	return RejectOverload, late && d.scheduler.shouldRejectLate(&w.Requirements, d.now)
+	r := &w.Requirements
+	if late && !d.scheduler.shouldRejectLate(r, d.now) && d.scheduler.isHopeless(r, ahead, d.now) {
+		return RejectLate, true
+	}
+	return RejectOverload, late && d.scheduler.shouldRejectLate(r, d.now)
 }
 
 // isSaturated reports whether every member that is available for a statement has
--- a/bbrplace/scheduler.go
+++ b/bbrplace/scheduler.go
@@ -92,6 +92,8 @@
 type memberState struct {
 	Member
 	inFlight int
+	// granted counts the statements that were granted the member.
+	granted uint64
 	// idleInTransaction is the number of connections of transactions that have no
 	// statement in flight.
 	idleInTransaction int
@@ -140,7 +142,9 @@
 	seq uint64
 	// lastLateGrant is when a member was last granted to a late statement.
 	lastLateGrant bbrtype.Mono
-	sharing       Sharing
+	// lateGrants is the rate of grants to late statements.
+	lateGrants grantRate
+	sharing    Sharing
 	// concurrency is the moving average of the number of statements that this instance has
 	// in flight at members that may serve a statement.
 	concurrency float64
--- a/bbrplace/snapshot.go
+++ b/bbrplace/snapshot.go
@@ -17,7 +17,9 @@
 	// maximum. IdleInTransaction is the number of connections that transactions hold
 	// between their statements, OpenConns that of all connections of this instance.
 	InFlight, Capacity, IdleInTransaction, OpenConns int
-	Latency                                          time.Duration
+	// Granted counts the statements that were granted the member.
+	Granted uint64
+	Latency time.Duration
 	// Others is the number of other instances' statements in the member's last report,
 	// ReportAge the age of the report, 0 if there is none.
 	Others    int           `json:",omitempty"`
@@ -45,7 +47,7 @@
 func (m *memberState) snapshot(now bbrtype.Mono) MemberLoad {
 	l := MemberLoad{
 		Member: m.ID, Primary: m.Primary, InFlight: m.inFlight, Capacity: m.capacity(now), IdleInTransaction: m.idleInTransaction,
-		OpenConns: m.openConns, Latency: m.latency, Mode: m.mode, Applied: m.appliedPosition, PausedFor: max(0, m.pausedUntil.Sub(now)),
+		OpenConns: m.openConns, Granted: m.granted, Latency: m.latency, Mode: m.mode, Applied: m.appliedPosition, PausedFor: max(0, m.pausedUntil.Sub(now)),
 	}
 	if m.load.at != 0 {
 		l.Others, l.ReportAge = m.load.others, now.Sub(m.load.at)
