Count the statements that only the primary can run when spreading load

The other instances also send the primary what only it can run, so that it got its full share of reads on top.

Trials of an ejected member begin after the pause that a lost reply causes, and earlier failures count until it is sound.

--- a/bbrplace/choice.go
+++ b/bbrplace/choice.go
@@ -22,9 +22,9 @@
 	// primaryCostFactor multiplies the cost of the primary for statements that replicas
 	// can run.
 	primaryCostFactor = 1.6
-	// concurrencySmoothing is the smoothing factor of the number of statements that this
-	// instance usually has in flight.
-	concurrencySmoothing = 0.05
+	// usageSmoothing is the smoothing factor of what this instance usually has in flight at
+	// a member.
+	usageSmoothing = 0.05
 	// minUnseenFraction is the least part of the other instances' statements whose members
 	// are taken as unknown, however new the reports: the others have read them as well,
 	// and choose at the same moment.
@@ -141,7 +141,7 @@
 	}
 	c := candidate{member: m, slope: slope, cost: slope * float64(1+m.inFlight)}
 	if s.isShared() {
-		c.cost += slope * m.estimate(now)
+		c.cost += slope * max(m.estimate(now), s.others()*m.pinnedInFlight())
 	}
 	if !m.SameDataCentre {
 		c.cost += float64(remotePenalty)
@@ -166,23 +166,54 @@
 	return lowest + time.Duration(float64(m.latency-lowest)*decay(now.Sub(m.latencyAt), latencyHalfLife))
 }
 
+// usage is what this instance usually has in flight at a member, from which it estimates
+// what each other instance has there.
+type usage struct {
+	// inFlight is the moving average of the number of statements.
+	inFlight float64
+	// pinned is the moving average of the fraction that no other member can run.
+	pinned float64
+}
+
+// pinnedInFlight returns the number of statements that no other member can run.
+func (u *usage) pinnedInFlight() float64 { return u.inFlight * u.pinned }
+
+// sampleUsage updates what this instance usually has in flight, at each statement.
+func (s *Scheduler) sampleUsage() {
+	if !s.isShared() {
+		return
+	}
+	for _, m := range s.members {
+		m.usage.inFlight += usageSmoothing * (float64(m.inFlight) - m.usage.inFlight)
+	}
+}
+
+// recordKind records whether a statement that was granted the member could have run at
+// another one.
+func (u *usage) recordKind(r *Requirements) {
+	pinned := 0.0
+	if r.PrimaryOnly || r.OnlyMember != "" {
+		pinned = 1
+	}
+	u.pinned += usageSmoothing * (pinned - u.pinned)
+}
+
 // unseenStatements estimates how many statements the other instances have in flight
 // at the candidates without this instance knowing where: each has as many as this one
 // usually has, less those that the members' reports show.
 func (s *Scheduler) unseenStatements(candidates []candidate, now bbrtype.Mono) float64 {
-	if !s.isShared() {
-		return 0
-	}
-	own, seen := 0, 0.0
+	own, seen := 0.0, 0.0
 	for _, c := range candidates {
-		own += c.member.inFlight
+		own += c.member.usage.inFlight - c.member.pinnedInFlight()
 		seen += c.member.estimate(now)
 	}
-	s.concurrency += concurrencySmoothing * (float64(own) - s.concurrency)
-	others := float64(s.sharing.Instances-1) * s.concurrency
+	others := s.others() * own
 	return max(others-seen, minUnseenFraction*others)
 }
 
+// others returns the number of other instances that send statements to the members.
+func (s *Scheduler) others() float64 { return float64(max(0, s.sharing.Instances-1)) }
+
 // distribute sets the parts of the candidates: n statements are divided so that the
 // costs of all candidates that get some become equal. The candidates are ordered by
 // cost.
--- a/bbrplace/ejection.go
+++ b/bbrplace/ejection.go
@@ -17,9 +17,12 @@
 	maxFailureFraction = 0.3
 	// trialInterval is the time between two trials of an ejected member, doubled with
 	// each trial that fails.
-	trialInterval = 250 * time.Millisecond
+	trialInterval = 500 * time.Millisecond
 	// maxTrialDoublings limits the number of doublings of trialInterval.
 	maxTrialDoublings = 3
+	// sound is the fraction of failed statements below which earlier ejections are
+	// forgotten.
+	sound = 0.01
 	// trialsToReturn is how many trials in a row must succeed before a member returns.
 	trialsToReturn = 8
 	// returnStep is the time in which the number of statements that a returning member
@@ -48,7 +51,8 @@
 	// failures is the moving average of the fraction of failed statements.
 	failures float64
 	// nextTrial is when the next trial may begin. succeeded counts the trials in a row
-	// that succeeded, failed all that failed since the member was ejected.
+	// that succeeded. failed counts the trials that failed and the ejections until the member
+	// is sound again.
 	nextTrial         bbrtype.Mono
 	succeeded, failed int
 	returningSince    bbrtype.Mono
@@ -58,22 +62,20 @@
 func (e *ejection) recordReply(now bbrtype.Mono) {
 	e.failures -= failureSmoothing * e.failures
 	if e.mode != ModeTrial {
+		if e.failures < sound {
+			e.failed = 0
+		}
 		return
 	}
 	e.nextTrial = now
 	if e.succeeded++; e.succeeded >= trialsToReturn {
-		e.beginReturn(now)
+		*e = ejection{mode: ModeReturning, returningSince: now, failures: maxFailureFraction / 2, failed: e.failed}
 	}
 }
 
 // recordFailure records that the member did not reply to a statement.
 func (e *ejection) recordFailure() { e.failures += failureSmoothing * (1 - e.failures) }
 
-// beginReturn lets the member's load rise from one statement.
-func (e *ejection) beginReturn(now bbrtype.Mono) {
-	*e = ejection{mode: ModeReturning, returningSince: now}
-}
-
 // ejectFailing ejects a member that fails too many statements, and delays the next trial
 // of an ejected one. No member is ejected if others are that together with it make up
 // more than half of the group.
@@ -82,14 +84,14 @@
 	case !s.isShared():
 		return
 	case m.mode == ModeTrial:
-		m.failed++
 	case m.failures > maxFailureFraction && s.mayEject():
-		m.mode, m.failed = ModeTrial, 1
+		m.mode = ModeTrial
 		s.ejections++
 	default:
 		return
 	}
 	m.succeeded = 0
+	m.failed++
 	m.nextTrial = now.Add(trialInterval << min(m.failed-1, maxTrialDoublings))
 }
 
@@ -108,7 +110,7 @@
 // by step.
 func (s *Scheduler) RecordReturn(id bbrtype.MemberName, now bbrtype.Mono) {
 	if m := s.members[id]; m != nil && s.isShared() {
-		m.ejection.beginReturn(now)
+		m.ejection = ejection{mode: ModeReturning, returningSince: now}
 		m.load = loadReport{}
 	}
 }
--- a/bbrplace/queue.go
+++ b/bbrplace/queue.go
@@ -91,9 +91,7 @@
 // rejects it.
 func (s *Scheduler) Submit(w *Waiter, now bbrtype.Mono) {
 	if m := s.pick(&w.Requirements, now); m != nil {
-		m.beginLagTrial(&w.Requirements, now)
-		m.acquire(now)
-		s.granted(w, now)
+		s.grantTo(m, w, now)
 		w.OnGrant(m.ID)
 		return
 	}
@@ -107,6 +105,15 @@
 	s.enqueue(w, now)
 }
 
+// grantTo records that a member is granted to a statement.
+func (s *Scheduler) grantTo(m *memberState, w *Waiter, now bbrtype.Mono) {
+	s.sampleUsage()
+	m.recordKind(&w.Requirements)
+	m.beginLagTrial(&w.Requirements, now)
+	m.acquire(now)
+	s.granted(w, now)
+}
+
 // enqueue adds a statement to the queue. If the queue is full, one statement is rejected.
 func (s *Scheduler) enqueue(w *Waiter, now bbrtype.Mono) {
 	s.seq++
@@ -273,9 +280,7 @@
 	if m == nil {
 		return false
 	}
-	m.beginLagTrial(&w.Requirements, d.now)
-	m.acquire(d.now)
-	d.scheduler.granted(w, d.now)
+	d.scheduler.grantTo(m, w, d.now)
 	d.dequeue(w)
 	id := m.ID
 	d.callbacks = append(d.callbacks, func() { w.OnGrant(id) })
--- a/bbrplace/scheduler.go
+++ b/bbrplace/scheduler.go
@@ -108,6 +108,7 @@
 	latencyAt bbrtype.Mono
 	// load is what the member last reported of its load.
 	load loadReport
+	usage
 	ejection
 	// appliedPosition is the latest log position in a reply of the member.
 	appliedPosition bbrmessage.LogPosition
@@ -145,9 +146,6 @@
 	// lateGrants is the rate of grants to late statements.
 	lateGrants grantRate
 	sharing    Sharing
-	// concurrency is the moving average of the number of statements that this instance has
-	// in flight at members that may serve a statement.
-	concurrency float64
 	// rng draws the member of a statement.
 	rng *rand.Rand
 	// ejections counts how many times a member was ejected.
