--- a/bbrplace/choice.go
+++ b/bbrplace/choice.go
@@ -114,7 +114,7 @@
 
 // candidates returns the members that may get a statement now, by rising cost.
 func (s *Scheduler) candidates(r *Requirements, now bbrtype.Mono) []candidate {
-	out := make([]candidate, 0, len(s.members))
+	var out []candidate
 	for _, m := range s.members {
 		if m.isAvailable(r, now) && m.hasCapacity(now) && s.isAdmitted(m, r, now) {
 			out = append(out, s.newCandidate(m, r, now))
--- a/bbrplace/fairness.go
+++ b/bbrplace/fairness.go
@@ -98,10 +98,14 @@
 // order returns statements of one priority, given in the order of compareWaiters, in the
 // order in which tenants take turns. Of each tenant the order is kept.
 func (f *fairness) order(waiters []*Waiter) []*Waiter {
-	if len(waiters) == 0 || f.levels[waiters[0].Priority] == nil {
+	if len(waiters) == 0 {
 		return waiters
 	}
-	clock := &f.levels[waiters[0].Priority].clock
+	l := f.levels[waiters[0].Priority]
+	if l == nil || len(l.waiting) == 1 && l.total == len(waiters) {
+		return waiters
+	}
+	clock := &l.clock
 	finish := make(map[*Waiter]bbrfair.Time, len(waiters))
 	last := map[bbrtype.TenantName]bbrfair.Time{}
 	for _, w := range waiters {
@@ -177,7 +181,7 @@
 }
 
 // evict makes room for a new statement of a tenant while the queue is full. It returns the
-// statement to reject, which may be the new one, nil if the queue is not full.
+// statement to reject, which may be the new one, nil if there is none.
 func (s *Scheduler) evict(w *Waiter) *Waiter {
 	if w.Tenant == "" || len(s.queue) < maxWaiting {
 		return nil
@@ -201,5 +205,8 @@
 			victim = o
 		}
 	}
+	if victim.OnReject == nil {
+		return nil
+	}
 	return victim
 }
