Don't reject late statements before the rate at which they are served is known

When a member turns slow, all its statements are late at the same moment, and none was granted as late before: they were all rejected. Trials of an ejected member come at most 2 s apart.

--- a/bbrplace/ejection.go
+++ b/bbrplace/ejection.go
@@ -19,7 +19,7 @@
 	// each trial that fails.
 	trialInterval = 500 * time.Millisecond
 	// maxTrialDoublings limits the number of doublings of trialInterval.
-	maxTrialDoublings = 3
+	maxTrialDoublings = 2
 	// sound is the fraction of failed statements below which earlier ejections are
 	// forgotten.
 	sound = 0.01
--- a/bbrplace/late.go
+++ b/bbrplace/late.go
@@ -42,12 +42,22 @@
 	s.lateGrants.record(now)
 }
 
+// recordLateWait records whether late statements are in the queue.
+func (s *Scheduler) recordLateWait(areWaiting bool, now bbrtype.Mono) {
+	switch {
+	case !areWaiting:
+		s.lateSince = 0
+	case s.lateSince == 0:
+		s.lateSince = now
+	}
+}
+
 // isHopeless reports whether a late statement would probably wait until its deadline: while
-// the members have been saturated for lateRejectDelay, fewer late statements were granted
-// than would have to be for it to get its turn. ahead is the number of late statements that
-// come before it.
+// the members have been saturated and late statements have waited for lateRejectDelay, fewer
+// of these were granted than would have to be for it to get its turn. ahead is the number of
+// late statements that come before it.
 func (s *Scheduler) isHopeless(r *Requirements, ahead int, now bbrtype.Mono) bool {
-	if r.Deadline == 0 || !s.isSaturated(r, lateRejectDelay, now) {
+	if r.Deadline == 0 || s.lateSince == 0 || now.Sub(s.lateSince) < lateRejectDelay || !s.isSaturated(r, lateRejectDelay, now) {
 		return false
 	}
 	left := r.Deadline.Sub(now) - s.minLatency(r, now)
--- a/bbrplace/queue.go
+++ b/bbrplace/queue.go
@@ -214,6 +214,7 @@
 			m.saturatedSince = 0
 		}
 	}
+	s.recordLateWait(d.lateWait, now)
 	for _, call := range d.callbacks {
 		call()
 	}
@@ -225,6 +226,8 @@
 	scheduler *Scheduler
 	now       bbrtype.Mono
 	callbacks []func()
+	// lateWait is set if late statements stay in the queue.
+	lateWait bool
 }
 
 // split splits the statements of one priority into those that are not late and those that
@@ -261,6 +264,7 @@
 			ahead++
 		}
 	}
+	d.lateWait = d.lateWait || late && ahead > 0
 }
 
 // grantOne grants a member to the first of the statements of one priority that one has
--- a/bbrplace/queue_test.go
+++ b/bbrplace/queue_test.go
@@ -144,6 +144,36 @@
 	is.True(late.rejected)
 }
 
+// TestAllLateAtOnce checks that statements which become late at the same moment, because the
+// member turns slow, are not rejected before it is known how many late ones it serves.
+func TestAllLateAtOnce(t *testing.T) {
+	is := is.New(t)
+	s := newPrimaryScheduler()
+	now := start
+	var waiting []*outcome
+	for range 30 {
+		waiting = append(waiting, submit(s, now, time.Second))
+	}
+	for now.Sub(start) < 2*lateRejectDelay { // saturated by statements that are not late
+		now = now.Add(20 * time.Millisecond)
+		s.Release("p", now)
+		waiting = append(waiting, submit(s, now, time.Second))
+	}
+	waiting = waiting[len(waiting)-20:]
+	for range 50 {
+		s.RecordReply("p", 2*time.Second, position(1), now)
+	}
+	is.True(waiting[0].isWaiting())
+	is.True(s.willBeLate(waiting[0].waiter, now))
+	for range 2 {
+		now = now.Add(200 * time.Millisecond)
+		s.Release("p", now)
+	}
+	for _, w := range waiting {
+		is.True(!w.rejected)
+	}
+}
+
 // TestTransactionsThatPauseLeaveTheirPlace checks that an idle transaction releases
 // its capacity but still counts as a connection.
 func TestTransactionsThatPauseLeaveTheirPlace(t *testing.T) {
--- a/bbrplace/scheduler.go
+++ b/bbrplace/scheduler.go
@@ -145,7 +145,9 @@
 	lastLateGrant bbrtype.Mono
 	// lateGrants is the rate of grants to late statements.
 	lateGrants grantRate
-	sharing    Sharing
+	// lateSince is since when late statements have been in the queue, 0 if there are none.
+	lateSince bbrtype.Mono
+	sharing   Sharing
 	// rng draws the member of a statement.
 	rng *rand.Rand
 	// ejections counts how many times a member was ejected.
