--- a/bbrlink/group.go
+++ b/bbrlink/group.go
@@ -153,6 +153,8 @@
 	replicaLeftAt bbrtype.Mono
 	demotedSince  bbrtype.Mono
 	refused       refusals
+	// wakeAt is when the queue is dispatched because a pause ends, 0 if it is not scheduled.
+	wakeAt bbrtype.Mono
 }
 
 // Primary is the member that this instance currently treats as the group's primary,
--- a/bbrlink/pool.go
+++ b/bbrlink/pool.go
@@ -59,6 +59,7 @@
 	g.mu.Lock()
 	now := g.Clock.Now()
 	g.scheduler.Submit(w, now)
+	g.scheduleWake(now)
 	g.mu.Unlock()
 	select {
 	case id := <-granted:
@@ -222,6 +223,7 @@
 // holds mu.
 func (g *Group) recordNoReplyLocked(id bbrtype.MemberName, now bbrtype.Mono) {
 	g.scheduler.RecordNoReply(id, now)
+	g.scheduleWake(now)
 	h := g.health[id]
 	if h.failingSince == 0 {
 		h.failingSince = now
@@ -251,6 +253,7 @@
 		g.idle[id] = append(g.idle[id], c)
 	}
 	g.scheduler.Release(id, now)
+	g.scheduleWake(now)
 }
 
 // ReplyTimeout returns the time after which a member's reply is considered lost.
--- a/bbrplace/lagging.go
+++ b/bbrplace/lagging.go
@@ -33,7 +33,12 @@
 // that, the replica gets reads at the rejected position or a later one only when a reply
 // shows that it has applied the position, or one at a time after a pause.
 func (m *memberState) mayHaveApplied(position bbrmessage.LogPosition, now bbrtype.Mono) bool {
-	return !m.isLagging(position) || now.Sub(m.lagRejectedAt) > lagPause<<max(0, min(m.lagRejections-1, maxLagDoublings))
+	return !m.isLagging(position) || now > m.lagPauseEnd()
+}
+
+// lagPauseEnd returns when the pause after the last read that the replica rejected ends.
+func (m *memberState) lagPauseEnd() bbrtype.Mono {
+	return m.lagRejectedAt.Add(lagPause << max(0, min(m.lagRejections-1, maxLagDoublings)))
 }
 
 // isLagging reports whether a replica has rejected a log position or an earlier one, and
--- a/bbrplace/scheduler_test.go
+++ b/bbrplace/scheduler_test.go
@@ -176,3 +176,33 @@
 		}
 	})
 }
+
+// TestNextPauseEnd checks when the queue has to be dispatched because a pause ends.
+func TestNextPauseEnd(t *testing.T) {
+	wait := Requirements{MinPosition: position(5)}
+	tests := map[string]struct {
+		prepare func(*Scheduler)
+		want    time.Duration
+	}{
+		"no pause":             {prepare: func(*Scheduler) {}},
+		"no reply":             {prepare: func(s *Scheduler) { s.RecordNoReply("r1", start) }, want: noReplyPause},
+		"the first pause ends": {prepare: func(s *Scheduler) { s.RecordNoReply("r1", start); s.RecordBusy("p", start) }, want: busyPause},
+		"a replica lags":       {prepare: func(s *Scheduler) { s.RecordLagging("r1", position(5), start) }, want: lagPause},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newThreeMemberScheduler()
+			tt.prepare(s)
+			is.Equal(s.NextPauseEnd(start), bbrtype.Mono(0)) // nothing waits
+			for range 7 {
+				s.Submit(&Waiter{Requirements: wait, OnGrant: func(bbrtype.MemberName) {}}, start)
+			}
+			want := bbrtype.Mono(0)
+			if tt.want > 0 {
+				want = start.Add(tt.want)
+			}
+			is.Equal(s.NextPauseEnd(start), want)
+		})
+	}
+}
