--- a/bbrlink/wake.go
+++ b/bbrlink/wake.go
@@ -1,14 +1,15 @@
 package bbrlink
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/bluebellroute/bluebellroute/bbrtype"
 )
 
-// wakeMargin is added to the end of a member's pause, so that it is over when the queue is
-// dispatched.
-const wakeMargin = time.Millisecond
+// maxWakeJitter is the maximum time between the end of a member's pause and the dispatch of
+// the queue. It keeps instances from coming back at the same moment.
+const maxWakeJitter = 250 * time.Millisecond
 
 // scheduleWake dispatches the queue when the next pause of a member ends. The caller holds
 // mu.
@@ -18,7 +19,7 @@
 		return
 	}
 	g.wakeAt = end
-	time.AfterFunc(end.Sub(now)+wakeMargin, func() { g.wake(end) })
+	time.AfterFunc(end.Sub(now)+rand.N(maxWakeJitter), func() { g.wake(end) })
 }
 
 // wake dispatches the queue, unless an earlier wake has replaced this one.
--- a/bbrplace/lagging.go
+++ b/bbrplace/lagging.go
@@ -31,9 +31,12 @@
 // mayHaveApplied reports whether a replica is expected to have applied a log
 // position. It is true until the replica rejects a read because it lags. After
 // that, the replica gets reads at the rejected position or a later one only when a reply
-// shows that it has applied the position, or one at a time after a pause.
+// shows that it serves reads again, or one at a time after a pause.
 func (m *memberState) mayHaveApplied(position bbrmessage.LogPosition, now bbrtype.Mono) bool {
-	return !m.isLagging(position) || now > m.lagPauseEnd()
+	if !m.isLagging(position) {
+		return true
+	}
+	return now > m.lagPauseEnd() && (m.lagRejections == 0 || now.Sub(m.lagTrialAt) > lagPause)
 }
 
 // lagPauseEnd returns when the pause after the last read that the replica rejected ends.
@@ -47,18 +50,18 @@
 	return m.appliedPosition.IsBefore(position) && !m.lagPosition.IsZero() && !position.IsBefore(m.lagPosition)
 }
 
-// beginLagTrial begins the pause of a lagging replica anew when it gets a read, so that
-// further reads wait for the outcome.
+// beginLagTrial records that a lagging replica gets a read, so that further reads wait for
+// the outcome.
 func (m *memberState) beginLagTrial(r *Requirements, now bbrtype.Mono) {
 	if m.isTriedWhileLagging(r) {
-		m.lagRejectedAt = now
+		m.lagTrialAt = now
 	}
 }
 
 // isTriedWhileLagging reports whether a statement at the member would only find out
-// whether the member still lags.
+// whether the member still lags: it has rejected reads and replied to none since.
 func (m *memberState) isTriedWhileLagging(r *Requirements) bool {
-	return !m.Primary && r.OnlyMember == "" && m.isLagging(r.MinPosition)
+	return !m.Primary && r.OnlyMember == "" && m.lagRejections > 0 && m.isLagging(r.MinPosition)
 }
 
 // serves reports whether the member is expected to serve a statement once it has capacity.
--- a/bbrplace/scheduler.go
+++ b/bbrplace/scheduler.go
@@ -117,6 +117,8 @@
 	// rejections since the last reply.
 	lagPosition   bbrmessage.LogPosition
 	lagRejectedAt bbrtype.Mono
+	// lagTrialAt is when the replica last got a read to find out whether it still lags.
+	lagTrialAt    bbrtype.Mono
 	lagRejections int
 	// connRefusals counts the connections that the member refused since its last
 	// reply, while this instance had no open connection to it.
@@ -124,6 +126,8 @@
 	// connRefusedSince is the time of the first refusal in connRefusals.
 	connRefusedSince bbrtype.Mono
 	pausedUntil      bbrtype.Mono
+	// silentUntil is when the pause after the last statement without a reply ends.
+	silentUntil bbrtype.Mono
 	// connCap limits the number of connections until connCapUntil.
 	connCap      int
 	connCapUntil bbrtype.Mono
@@ -314,6 +318,7 @@
 func (s *Scheduler) RecordNoReply(id bbrtype.MemberName, now bbrtype.Mono) {
 	if m := s.members[id]; m != nil {
 		m.pausedUntil = now.Add(noReplyPause)
+		m.silentUntil = m.pausedUntil
 		m.ejection.recordFailure()
 		s.ejectFailing(m, now)
 	}
