Count busy members as saturated

A member that rejects a statement as busy was paused and thereby counted as neither serving nor saturated, so nothing was rejected at once just when members were full.

--- a/bbrplace/lagging.go
+++ b/bbrplace/lagging.go
@@ -65,7 +65,9 @@
 }
 
 // serves reports whether the member is expected to serve a statement once it has capacity.
-// A lagging replica that may get a statement to find out whether it still lags is not.
+// A member that is paused because it is busy is; a lagging replica that may get a statement
+// to find out whether it still lags is not.
 func (s *Scheduler) serves(m *memberState, r *Requirements, now bbrtype.Mono) bool {
-	return m.isAvailable(r, now) && s.isAdmitted(m, r, now) && !m.isTriedWhileLagging(r)
+	isAvailable := m.isAvailable(r, now) || now < m.busyUntil && m.isEligible(r, now)
+	return isAvailable && s.isAdmitted(m, r, now) && !m.isTriedWhileLagging(r)
 }
