--- a/bbrplace/lagging.go
+++ b/bbrplace/lagging.go
@@ -65,9 +65,7 @@
 }
 
 // serves reports whether the member is expected to serve a statement once it has capacity.
-// A member that is paused because it is busy is; a lagging replica that may get a statement
-// to find out whether it still lags is not.
+// A lagging replica that may get a statement to find out whether it still lags is not.
 func (s *Scheduler) serves(m *memberState, r *Requirements, now bbrtype.Mono) bool {
-	isAvailable := m.isAvailable(r, now) || now < m.busyUntil && m.isEligible(r, now)
-	return isAvailable && s.isAdmitted(m, r, now) && !m.isTriedWhileLagging(r)
+	return m.isAvailable(r, now) && s.isAdmitted(m, r, now) && !m.isTriedWhileLagging(r)
 }
--- a/bbrplace/queue.go
+++ b/bbrplace/queue.go
@@ -210,7 +210,7 @@
 	}
 	s.queue = slices.DeleteFunc(s.queue, func(w *Waiter) bool { return !w.queued })
 	for _, m := range s.members {
-		if m.hasCapacity(now) && now >= m.busyUntil {
+		if m.hasCapacity(now) {
 			m.saturatedSince = 0
 		}
 	}
--- a/bbrplace/scheduler.go
+++ b/bbrplace/scheduler.go
@@ -126,9 +126,6 @@
 	// connRefusedSince is the time of the first refusal in connRefusals.
 	connRefusedSince bbrtype.Mono
 	pausedUntil      bbrtype.Mono
-	// busyUntil is when the pause after the last statement that the member rejected as busy
-	// ends. Until then the member counts as saturated.
-	busyUntil bbrtype.Mono
 	// silentUntil is when the pause after the last statement without a reply ends.
 	silentUntil bbrtype.Mono
 	// connCap limits the number of connections until connCapUntil.
@@ -289,10 +286,6 @@
 func (s *Scheduler) RecordBusy(id bbrtype.MemberName, now bbrtype.Mono) {
 	if m := s.members[id]; m != nil {
 		m.pausedUntil = now.Add(busyPause)
-		m.busyUntil = m.pausedUntil
-		if m.saturatedSince == 0 {
-			m.saturatedSince = now
-		}
 	}
 }
 
