--- a/bbrlink/pool.go
+++ b/bbrlink/pool.go
@@ -59,12 +59,13 @@
 	g.mu.Lock()
 	now := g.Clock.Now()
 	g.scheduler.Submit(w, now)
+	g.scheduleWake(now)
 	g.mu.Unlock()
 	select {
 	case id := <-granted:
 		return g.connectFor(ctx, id, req.Tenant)
 	case reason := <-rejected:
-		return nil, rejectError(reason)
+		return nil, g.reject(req, reason)
 	default:
 	}
 	timer := time.NewTimer(req.Deadline.Sub(now))
@@ -73,20 +74,12 @@
 	case id := <-granted:
 		return g.connectFor(ctx, id, req.Tenant)
 	case reason := <-rejected:
-		return nil, rejectError(reason)
+		return nil, g.reject(req, reason)
 	case <-timer.C:
 	case <-ctx.Done():
 	}
 	g.cancelWait(w, granted)
-	return nil, ErrAcquireTimeout
-}
-
-// rejectError returns the error for a statement that the scheduler rejected.
-func rejectError(reason bbrplace.RejectReason) error {
-	if reason == bbrplace.RejectConnectionsRefused {
-		return ErrConnectionsRefused
-	}
-	return ErrOverloaded
+	return nil, g.reject(req, reasonTimeout)
 }
 
 // cancelWait withdraws a queued statement, and releases its slot if one was granted
@@ -247,6 +240,7 @@
 // holds mu.
 func (g *Group) recordNoReplyLocked(id bbrtype.MemberName, now bbrtype.Mono) {
 	g.scheduler.RecordNoReply(id, now)
+	g.scheduleWake(now)
 	h := g.health[id]
 	if h.failingSince == 0 {
 		h.failingSince = now
@@ -276,6 +270,7 @@
 		g.addIdle(c)
 	}
 	g.scheduler.Release(id, now)
+	g.scheduleWake(now)
 }
 
 // ReplyTimeout returns the time after which a member's reply is considered lost.
