--- a/bbrtesthelpers/process.go
+++ b/bbrtesthelpers/process.go
@@ -101,6 +101,9 @@
 	}
 }
 
+// PID returns the number of the program's process.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Signal sends a signal.
 func (p *Process) Signal(s syscall.Signal) {
 	_ = p.cmd.Process.Signal(s)
