Settings tell the memory and descriptors of the machine

Cause: nothing in the process knows its machine's limits. Change: section limits with memory and descriptors, checked; both may be left out. bbrini reads amounts of memory with a unit.

--- a/bbrini/reader.go
+++ b/bbrini/reader.go
@@ -167,6 +167,34 @@
 	return d
 }
 
+// sizeUnits are the units of amounts of memory, in bytes.
+var sizeUnits = map[string]int64{"kB": 1 << 10, "MB": 1 << 20, "GB": 1 << 30}
+
+// maxSize bounds amounts of memory, in bytes.
+const maxSize = 1 << 40
+
+// Size returns an amount of memory in bytes, 0 if the key is missing. A unit has 1024 of the
+// smaller one.
+func (r *Reader) Size(key string) int64 {
+	r.note(key, "amount of memory", "")
+	v, ok := r.get(key)
+	if !ok {
+		return 0
+	}
+	number, unit := v, int64(1)
+	for suffix, bytes := range sizeUnits {
+		if n, found := strings.CutSuffix(v, suffix); found {
+			number, unit = n, bytes
+		}
+	}
+	n, err := strconv.ParseInt(strings.TrimSpace(number), 10, 64)
+	if err != nil || n < 0 || n > maxSize/unit {
+		r.Problem(key, fmt.Sprintf("%q is not an amount of memory", v), "write it with a unit, such as 184MB")
+		return 0
+	}
+	return n * unit
+}
+
 // List returns the parts of a value between commas.
 func (r *Reader) List(key string) []string {
 	r.note(key, "names between commas", "")
--- a/bbrnode/settings.go
+++ b/bbrnode/settings.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/bluebellroute/bluebellroute/bbrbudget"
 	"github.com/bluebellroute/bluebellroute/bbrini"
 	"github.com/bluebellroute/bluebellroute/bbrtype"
 )
@@ -38,6 +39,10 @@
 	// GracePeriod is the time from the signal to stop to the exit of the process.
 	GracePeriod time.Duration
 	LogLevel    logrus.Level
+	// Memory and Descriptors are what the process may use of its machine, 0 if the settings do
+	// not tell.
+	Memory      bbrbudget.Bytes
+	Descriptors int
 }
 
 // LoadSettings reads and checks a settings file.
@@ -91,6 +96,7 @@
 	s.ConfigTimeout = r.Duration("configuration", 3*time.Second)
 	s.DrainTimeout = r.Duration("drain", 7*time.Second)
 	r.Finish()
+	s.readLimits(bbrini.NewReader(file, f.Section("limits"), &problems))
 	r = bbrini.NewReader(file, f.Section("log"), &problems)
 	level := bbrini.Choice(r, "level", "info", "debug", "info", "warn", "error")
 	r.Finish()
@@ -101,3 +107,23 @@
 	s.LogLevel, err = logrus.ParseLevel(level)
 	return s, errors.Wrap(err, "log level")
 }
+
+const (
+	// minMemory is the smallest memory that an instance runs in.
+	minMemory = 64 * bbrbudget.Megabyte
+	// minDescriptors and maxDescriptors are the bounds of the number of descriptors.
+	minDescriptors = 64
+	maxDescriptors = 1 << 20
+)
+
+// readLimits reads the limits of the machine.
+func (s *Settings) readLimits(r *bbrini.Reader) {
+	s.Memory = bbrbudget.Bytes(r.Size("memory"))
+	if s.Memory > 0 && s.Memory < minMemory {
+		r.Problem("memory", "the memory is too small", fmt.Sprintf("an instance takes at least %dMB", minMemory/bbrbudget.Megabyte))
+	}
+	if s.Descriptors = r.Integer("descriptors", 0, 0, maxDescriptors); s.Descriptors > 0 && s.Descriptors < minDescriptors {
+		r.Problem("descriptors", "there are too few descriptors", fmt.Sprintf("an instance takes at least %d", minDescriptors))
+	}
+	r.Finish()
+}
