Sessions and pooled connections keep a bounded state

Cause: values and prepared names of sessions grew without bound, kept the whole message that they came with, and stayed on pooled connections after the session.

--- a/bbrlink/attribution.go
+++ b/bbrlink/attribution.go
@@ -36,6 +36,10 @@
 // so the memory for them. Then it is replaced.
 const maxConnReplies = 4096
 
+// maxSetupBytes bounds the statements that set a connection up for sessions, and so what it keeps
+// of their values and prepared statements. Then it is replaced.
+const maxSetupBytes = 256 << 10
+
 // expectation is what a statement's reply looks like if the statement succeeds.
 type expectation struct {
 	// signed is set for reads, writes and commits.
@@ -200,5 +204,5 @@
 
 // mayBeReused reports whether the replies to further statements can be attributed.
 func (c *Conn) mayBeReused() bool {
-	return !c.broken && c.carried.len() < maxConnReplies && c.transactionState() == bbrmessage.StateIdle
+	return !c.broken && c.setupBytes <= maxSetupBytes && c.carried.len() < maxConnReplies && c.transactionState() == bbrmessage.StateIdle
 }
--- a/bbrlink/conn.go
+++ b/bbrlink/conn.go
@@ -34,7 +34,9 @@
 	// failedAt is that at the last failure, if there was one.
 	newest, failedAt bbrmessage.LogPosition
 	hasFailed        bool
-	begun            begunReplies
+	// setupBytes is the size of the statements that set up the member's session.
+	setupBytes int
+	begun      begunReplies
 	// state is the transaction state at the member, empty for a new connection.
 	state bbrmessage.TransactionState
 	// dialTime is how long it took to open the connection, 0 if it was pooled.
@@ -66,6 +68,7 @@
 func (c *Conn) SetupStatements(s *SessionState, execute string) []bbrmessage.MemberStatement {
 	var out []bbrmessage.MemberStatement
 	add := func(text string) {
+		c.setupBytes += len(text)
 		out = append(out, bbrmessage.MemberStatement{ID: bbrmessage.InternalRequestID, Text: text, Kind: bbrmessage.KindSetup})
 	}
 	if c.hasStaleValues(s) {
--- a/bbrsession/session.go
+++ b/bbrsession/session.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"net"
 	"os"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -207,8 +205,7 @@
 	case bbrmessage.Prepare:
 		return sess.prepare(op)
 	case bbrmessage.Deallocate:
-		delete(sess.state.Prepared, op.Name)
-		return sess.successReply()
+		return sess.deallocate(op)
 	case bbrmessage.Begin:
 		return sess.begin(op, arrivedAt)
 	case bbrmessage.Rollback:
@@ -310,29 +307,6 @@
 	return sess.failureReply(f)
 }
 
-func (sess *session) set(op bbrmessage.Set) bbrmessage.Reply {
-	if sess.state.Values == nil {
-		sess.state.Values = map[string]string{}
-	}
-	sess.state.Values[op.Name] = op.Value
-	return sess.successReply()
-}
-
-// prepare stores a prepared statement in the session. The name under which members
-// store it is a hash of access and definition, so that sessions with the same
-// statement reuse it on pooled connections.
-func (sess *session) prepare(op bbrmessage.Prepare) bbrmessage.Reply {
-	if sess.state.Prepared == nil {
-		sess.state.Prepared = map[string]bbrmessage.Prepare{}
-	}
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(string(op.Access) + " " + op.Definition))
-	stored := op
-	stored.Name = "p" + strconv.FormatUint(h.Sum64(), 36)
-	sess.state.Prepared[op.Name] = stored
-	return sess.successReply()
-}
-
 // begin opens a transaction. The transaction's first statement acquires the
 // connection.
 func (sess *session) begin(op bbrmessage.Begin, arrivedAt bbrtype.Mono) bbrmessage.Reply {
