Callers and ports of an instance are bounded

A forwarded statement without room is declined before it is read, so that it runs elsewhere. Log lines over 16 kB are dropped and counted: they held what callers sent. Groups that an instance doesn't know aren't noted any more when another instance names them.

--- a/bbrforward/forward.go
+++ b/bbrforward/forward.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/bluebellroute/bluebellroute/bbrcatalog"
 	"github.com/bluebellroute/bluebellroute/bbrecho"
@@ -95,6 +96,19 @@
 	return bbrecho.Handler(forwardpb.NewForwardServer(&server{run: run, stopping: stopping}))
 }
 
+// DeclineHandler declines forwarded statements without reading them.
+func DeclineHandler(reason string) http.Handler {
+	return bbrecho.Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		reply, err := proto.Marshal(&forwardpb.RunReply{Declined: reason})
+		if err != nil {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		w.Header().Set("Content-Type", "application/protobuf")
+		_, _ = w.Write(reply)
+	}))
+}
+
 // PathPrefix is the path under which Handler expects requests.
 const PathPrefix = forwardpb.ForwardPathPrefix
 
--- a/bbrnode/holder.go
+++ b/bbrnode/holder.go
@@ -114,9 +114,11 @@
 func (n *Node) runForwarded(ctx context.Context, s bbrforward.Statement) bbrforward.Result {
 	group := s.Route.Group
 	wasHolder := n.holds(group)
-	n.adoptedUntil.Store(group, n.clock.Now().Add(adoptionTime))
-	if g := n.group(group); g != nil && !wasHolder {
-		g.RefreshScheduler()
+	if g := n.group(group); g != nil {
+		n.adoptedUntil.Store(group, n.clock.Now().Add(adoptionTime))
+		if !wasHolder {
+			g.RefreshScheduler()
+		}
 	}
 	return n.sessions.RunForwarded(ctx, s)
 }
--- a/bbrnode/log.go
+++ b/bbrnode/log.go
@@ -13,12 +13,14 @@
 const (
 	// logQueueLen is the number of lines that may wait to be written.
 	logQueueLen = 1024
+	// maxLogLine is the length of the longest line, in bytes: lines hold what callers send.
+	maxLogLine = 16 << 10
 	// logFlushTimeout bounds the wait for the last lines when the process exits.
 	logFlushTimeout = 200 * time.Millisecond
 )
 
 // logWriter queues lines and writes them in the background, so that logging never
-// blocks. Lines that find the queue full are dropped and counted.
+// blocks. Lines that are too long or find the queue full are dropped and counted.
 type logWriter struct {
 	lines   chan []byte
 	dropped atomic.Int64
@@ -47,8 +49,12 @@
 	}
 }
 
-// Write queues a line, or drops it if the queue is full.
+// Write queues a line, or drops it if it is too long or the queue is full.
 func (w *logWriter) Write(line []byte) (int, error) {
+	if len(line) > maxLogLine {
+		w.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
--- a/bbrnode/metric.go
+++ b/bbrnode/metric.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/bluebellroute/bluebellroute/bbrbudget"
 	"github.com/bluebellroute/bluebellroute/bbrcatalog"
 	"github.com/bluebellroute/bluebellroute/bbrsession"
 	"github.com/bluebellroute/bluebellroute/bbrtype"
@@ -40,6 +41,8 @@
 	// ignoredRows counts the rows that were not newer than the known ones, but
 	// differed from them.
 	ignoredRows *prometheus.CounterVec
+	// limits counts what was refused or closed because of a limit.
+	limits *prometheus.CounterVec
 
 	mu     sync.Mutex
 	routes map[bbrtype.RouteName]bool
@@ -67,8 +70,11 @@
 		ignoredRows: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bbr_node_rows_ignored_total", Help: "Rows that differed from the known ones but were not newer.",
 		}, []string{"table"}),
+		limits: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bbr_node_limits_total", Help: "Connections, messages and requests that were refused or closed because of a limit.",
+		}, []string{"reason"}),
 	}
-	m.registry.MustRegister(m.statements, m.phases, m.forwards, m.storeCalls, m.entriesLeftOut, m.ignoredRows)
+	m.registry.MustRegister(m.statements, m.phases, m.forwards, m.storeCalls, m.entriesLeftOut, m.ignoredRows, m.limits)
 	m.showZeros()
 	return m
 }
@@ -81,6 +87,9 @@
 	for _, table := range []string{groupTable, instanceTable} {
 		m.entriesLeftOut.WithLabelValues(table)
 	}
+	for _, reason := range bbrbudget.Reasons {
+		m.limits.WithLabelValues(string(reason))
+	}
 	for _, outcome := range []bbrsession.ForwardOutcome{bbrsession.ForwardDone, bbrsession.ForwardDeclined, bbrsession.ForwardNotSent, bbrsession.ForwardLost} {
 		m.forwards.WithLabelValues(string(outcome))
 	}
--- a/bbrnode/node.go
+++ b/bbrnode/node.go
@@ -36,6 +36,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/bluebellroute/bluebellroute/bbrbudget"
 	"github.com/bluebellroute/bluebellroute/bbrcatalog"
 	"github.com/bluebellroute/bluebellroute/bbrdirectory"
 	"github.com/bluebellroute/bluebellroute/bbrforward"
@@ -96,6 +97,10 @@
 	catalog    bbrcatalog.Holder
 	sessions   *bbrsession.Server
 	metrics    *metrics
+	// budget is what callers may make the instance hold, peerBudget what other instances may.
+	limits             bbrbudget.Limits
+	limitRecorder      *limitRecorder
+	budget, peerBudget *bbrbudget.Budget
 	// storeProofFlight and peerProofFlight merge concurrent requests for proofs to
 	// the store and to the proof delegate.
 	storeProofFlight singleFlight
@@ -168,6 +173,10 @@
 		changing:           map[bbrtype.GroupName]bool{},
 		progress:           map[bbrtype.GroupName]replicationProgress{},
 	}
+	n.limits = bbrbudget.NewLimits(s.Memory, s.Descriptors)
+	n.limitRecorder = newLimitRecorder(log, m)
+	n.budget = bbrbudget.New(n.limits, n.limitRecorder)
+	n.peerBudget = bbrbudget.New(bbrbudget.Limits{Messages: n.limits.Peers}, n.limitRecorder)
 	n.setFleet(nil)
 	n.eraCtx, n.endEra = context.WithCancel(context.Background())
 	n.sessions = bbrsession.New(bbrsession.Deps{
--- a/bbrnode/run.go
+++ b/bbrnode/run.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/bluebellroute/bluebellroute/bbrbudget"
 	"github.com/bluebellroute/bluebellroute/bbrforward"
 	"github.com/bluebellroute/bluebellroute/bbrshare"
 	"github.com/bluebellroute/bluebellroute/bbrtype"
@@ -53,6 +54,8 @@
 	n.runAsync(func() { n.register(serveCtx) })
 	n.runAsync(func() { n.maintainGroups(serveCtx) })
 	n.runAsync(func() { n.probeExcluded(serveCtx) })
+	limitRuntime(n.limits)
+	callers = bbrbudget.NewGate(callers, n.limits.Callers, n.limitRecorder, n.refuseCaller)
 	n.runAsync(func() { n.accept(serveCtx, callers) })
 	for {
 		select {
@@ -90,9 +93,8 @@
 			bbrtype.Sleep(ctx, acceptRetryDelay)
 			continue
 		}
-		n.platform.ConfigureCallerConn(conn)
 		n.runAsync(func() {
-			if err := n.sessions.Serve(ctx, n.platform.NewCallerConn(conn)); err != nil {
+			if err := n.sessions.Serve(ctx, n.newCaller(conn)); err != nil {
 				n.log.WithError(err).Debug("session ended with an error")
 			}
 		})
@@ -110,29 +112,35 @@
 	})
 	metrics := http.NewServeMux()
 	metrics.Handle("/metrics", n.metrics.handler())
-	handlers := map[string]http.Handler{n.settings.ReadyAddress: ready, n.settings.MetricsAddress: metrics}
+	endpoints := []endpoint{n.probeEndpoint(n.settings.ReadyAddress, ready), n.probeEndpoint(n.settings.MetricsAddress, metrics)}
 	if n.settings.PeerAddress != "" {
 		peers := http.NewServeMux()
-		peers.Handle(bbrforward.PathPrefix, n.forwardRequests.count(bbrforward.Handler(n.runForwarded, n.sessions.IsForwardedStopped)))
-		peers.Handle("/", bbrshare.Handler(n.servePull))
-		handlers[n.settings.PeerAddress] = peers
+		forwarded := bbrforward.Handler(n.runForwarded, n.sessions.IsForwardedStopped)
+		peers.Handle(bbrforward.PathPrefix, n.forwardRequests.count(n.peerBudget.BoundBodies(forwarded, bbrforward.DeclineHandler("the instance has no room for the statement"))))
+		peers.Handle("/", n.peerBudget.BoundBodies(bbrshare.Handler(n.servePull), http.HandlerFunc(unavailable)))
+		endpoints = append(endpoints, n.peerEndpoint(n.settings.PeerAddress, peers))
 	}
-	for address, h := range handlers {
-		if err := n.serveHTTP(ctx, address, h); err != nil {
+	for _, e := range endpoints {
+		if err := n.serveHTTP(ctx, e); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// serveHTTP serves requests on an address until ctx ends.
-func (n *Node) serveHTTP(ctx context.Context, address string, h http.Handler) error {
-	l, err := net.Listen("tcp", address)
+// unavailable refuses a request that there is no room for.
+func unavailable(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// serveHTTP serves the requests to an endpoint until ctx ends.
+func (n *Node) serveHTTP(ctx context.Context, e endpoint) error {
+	l, err := net.Listen("tcp", e.address)
 	if err != nil {
-		return errors.Wrapf(err, "listen on %s", address)
+		return errors.Wrapf(err, "listen on %s", e.address)
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: 2 * time.Second}
-	n.runAsync(func() { _ = server.Serve(l) })
+	server := e.server()
+	n.runAsync(func() { _ = server.Serve(bbrbudget.NewGate(l, e.connections, n.limitRecorder, nil)) })
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 	return nil
 }
--- a/bbrnode/run_test.go
+++ b/bbrnode/run_test.go
@@ -30,7 +30,7 @@
 	}))
 	serveCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	is.NoErr(n.serveHTTP(serveCtx, address, slow))
+	is.NoErr(n.serveHTTP(serveCtx, n.peerEndpoint(address, slow)))
 	var request errgroup.Group
 	request.Go(func() error {
 		res, err := http.Get("http://" + address)
