--- a/bbrbudget/budget.go
+++ b/bbrbudget/budget.go
@@ -221,8 +221,8 @@
 	return s.closing
 }
 
-// take holds a reply without waiting. While replies exceed the budget, it closes the slowest
-// reader.
+// take holds a reply without waiting. If the budget is exceeded, it closes the slowest readers of
+// other replies.
 func (s *share) take(size Bytes) {
 	b := s.budget
 	b.mu.Lock()
@@ -233,9 +233,12 @@
 		return
 	}
 	shares, holdings := b.holdings()
+	if i := slices.Index(shares, s); i >= 0 {
+		holdings[i].Held = 0
+	}
 	for excess > 0 {
 		i := Slowest(holdings)
-		if i == none || shares[i] == s {
+		if i == none {
 			return
 		}
 		excess -= holdings[i].Held
@@ -304,9 +307,9 @@
 	}
 }
 
-// keeps returns what the session keeps.
-func (s *share) keeps() Bytes {
+// usage returns what the connection holds and what its session keeps.
+func (s *share) usage() (held, kept Bytes) {
 	s.budget.mu.Lock()
 	defer s.budget.mu.Unlock()
-	return s.kept
+	return s.held, s.kept
 }
--- a/bbrbudget/caller.go
+++ b/bbrbudget/caller.go
@@ -68,13 +68,13 @@
 }
 
 // admit holds memory for a statement whose session has much state, because members are told
-// all of it. Outside of a transaction a statement is refused if there is no room in time.
+// all of it. The room for a large message covers that. Outside of a transaction a statement is refused if there is no room in time.
 func (c *Caller) admit(req bbrmessage.Request) error {
 	if _, ok := req.(bbrmessage.Statement); !ok {
 		return nil
 	}
-	kept := c.conn.share.keeps()
-	if kept <= SmallMessage {
+	held, kept := c.conn.share.usage()
+	if held > 0 || kept <= SmallMessage {
 		return nil
 	}
 	size := replyCopies * kept
--- a/bbrbudget/limits.go
+++ b/bbrbudget/limits.go
@@ -32,8 +32,9 @@
 const (
 	// SmallMessage is the size up to which messages and replies are not counted.
 	SmallMessage = 4 * Kilobyte
-	// MessageCost is what a larger message takes, with the copies made on its way.
-	MessageCost = 4 * Megabyte
+	// MessageCost is what a larger message takes, with the copies made on its way of it and of
+	// the session's state.
+	MessageCost = 6 * Megabyte
 	// replyCopies is how often a reply is held while it is sent.
 	replyCopies = 2
 	// entryCost is what one of a session's values or prepared names takes beside its texts.
--- a/bbrnode/collector.go
+++ b/bbrnode/collector.go
@@ -12,6 +12,7 @@
 	storeEraDesc         = prometheus.NewDesc("bbr_node_store_era", "Newest era of the store that was seen; it rises each time the store is restored.", nil, nil)
 	unconfirmedDesc      = prometheus.NewDesc("bbr_node_groups_unconfirmed", "Groups whose records are not confirmed in the store's era.", nil, nil)
 	forwardedDesc        = prometheus.NewDesc("bbr_node_forwarded", "Statements in progress and open transactions that other instances forwarded to this one.", nil, nil)
+	heldDesc             = prometheus.NewDesc("bbr_node_held_bytes", "Memory held for what callers send and ask for, by what holds it.", []string{"kind"}, nil)
 	holderDesc           = prometheus.NewDesc("bbr_node_group_holder", "1 while this instance keeps connections to the group's members.", []string{"group"}, nil)
 	waitingDesc          = prometheus.NewDesc("bbr_node_group_waiting", "Statements that wait for a member.", []string{"group"}, nil)
 	connectionsDesc      = prometheus.NewDesc("bbr_node_group_connections", "Open connections to members.", []string{"group"}, nil)
@@ -27,7 +28,7 @@
 
 // Describe implements prometheus.Collector.
 func (c collector) Describe(out chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{versionDesc, sessionsDesc, instancesDesc, tableUnavailableDesc, storeEraDesc, unconfirmedDesc, forwardedDesc, holderDesc, waitingDesc, connectionsDesc, dialsDesc, straysDesc, termDesc, ordersDesc, proofAgeDesc} {
+	for _, d := range []*prometheus.Desc{versionDesc, sessionsDesc, instancesDesc, tableUnavailableDesc, storeEraDesc, unconfirmedDesc, forwardedDesc, heldDesc, holderDesc, waitingDesc, connectionsDesc, dialsDesc, straysDesc, termDesc, ordersDesc, proofAgeDesc} {
 		out <- d
 	}
 }
@@ -54,6 +55,11 @@
 	_, unconfirmed := n.confirmableRecords(n.clock.Now())
 	gauge(unconfirmedDesc, float64(unconfirmed))
 	gauge(forwardedDesc, float64(n.sessions.ForwardedCount()))
+	held, kept := n.budget.Usage()
+	forwarded, _ := n.peerBudget.Usage()
+	gauge(heldDesc, float64(held), "messages")
+	gauge(heldDesc, float64(kept), "sessions")
+	gauge(heldDesc, float64(forwarded), "forwarded")
 	for _, g := range n.allGroups() {
 		name := string(g.Name())
 		holder := 0.0
