--- a/bbrbudget/limits.go
+++ b/bbrbudget/limits.go
@@ -81,8 +81,9 @@
 }
 
 // NewLimits divides the memory and the descriptors of a machine; 0 means that the limit is not
-// known. A quarter of the memory is left to what the runtime does not count, and a sixth of
-// the descriptors to connections that the instance opens itself.
+// known. A quarter of the memory is left to what the runtime does not count, and nearly a
+// quarter of the descriptors to files and to connections that the instance opens itself: to
+// members, other instances and the store.
 func NewLimits(memory Bytes, descriptors int) Limits {
 	var l Limits
 	if memory > 0 {
@@ -97,8 +98,8 @@
 	l.Peers = memory / 8
 	l.State = memory / 10
 	l.SessionState = min(maxSessionState, l.State)
-	l.Callers = descriptors / 2
-	l.PeerConnections = descriptors / 3
+	l.Callers = descriptors * 3 / 8
+	l.PeerConnections = descriptors * 3 / 8
 	l.ProbeConnections = min(probeConnections, max(1, descriptors/16))
 	return l
 }
