--- a/bbrforward/forward_test.go
+++ b/bbrforward/forward_test.go
@@ -77,6 +77,18 @@
 	is.True(errors.Is(err, ErrNotSent))
 }
 
+// TestDeclinedUnread checks that a statement that is declined without being read is not taken for
+// one that may have run.
+func TestDeclinedUnread(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(DeclineHandler("no room"))
+	defer server.Close()
+	result, err := NewClient(http.DefaultTransport).Run(context.Background(), server.Listener.Addr().String(), wholeStatement())
+	is.NoErr(err)
+	is.Equal(result.Declined, "no room")
+	is.True(!result.Stopping)
+}
+
 // FuzzRunRequest decodes a request and checks what decisions rely on.
 func FuzzRunRequest(f *testing.F) {
 	for _, r := range []*forwardpb.RunRequest{encodeStatement(wholeStatement()), {Operation: "read", ArrivedAgoUs: -1 << 63, BegunAgoUs: 1<<63 - 1, Route: &forwardpb.Route{Policy: "primary", StatementTimeoutUs: 1<<63 - 1}}, {}} {
--- a/bbrnode/log_test.go
+++ b/bbrnode/log_test.go
@@ -43,3 +43,18 @@
 	}
 	is.True(strings.Contains(out.text(), `"msg":"a line"`))
 }
+
+// TestLongLogLinesAreDropped guards against a queue of lines that hold what callers send.
+func TestLongLogLinesAreDropped(t *testing.T) {
+	is := is.New(t)
+	out := &blockingWriter{unblock: make(chan struct{})}
+	close(out.unblock)
+	log := NewLogger(out, logrus.InfoLevel)
+	log.Info(strings.Repeat("x", maxLogLine))
+	log.Info("a line")
+	for !strings.Contains(out.text(), `"msg":"log lines dropped","count":1`) {
+		FlushLog(log)
+	}
+	is.True(strings.Contains(out.text(), `"msg":"a line"`))
+	is.True(!strings.Contains(out.text(), "xxx"))
+}
