Callers' receive buffers are small; a reply that is sent holds nothing

Cause: bytes in the kernel that aren't read count for the process's memory on the platform, and under back pressure the kernel of each connection held what its own tuning allowed. A large reply counted until the next message began, so that its session could be closed as a slow reader after the reply. Change: the callers' listener sets a receive buffer of 16 kB, which its connections inherit; a reply's room is given back once it is written.

--- a/bbrbudget/caller.go
+++ b/bbrbudget/caller.go
@@ -98,7 +98,7 @@
 		c.conn.share.begin(PhaseSending, time.Now())
 		c.conn.share.take(size * replyCopies)
 		c.conn.sendsLarge = true
-		defer func() { c.conn.sendsLarge = false }()
+		defer c.endLargeReply()
 	}
 	err := c.CallerConn.Send(r)
 	if err == nil && c.started != nil && r.Failure == nil {
@@ -108,6 +108,13 @@
 	return err
 }
 
+// endLargeReply gives back what was held for a large reply.
+func (c *Caller) endLargeReply() {
+	c.conn.sendsLarge = false
+	c.conn.share.work()
+	c.conn.share.release()
+}
+
 func replySize(r bbrmessage.Reply) Bytes {
 	size := len(r.Signature)
 	for _, row := range r.Rows {
--- a/bbrforward/forward_test.go
+++ b/bbrforward/forward_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -83,7 +84,9 @@
 	is := is.New(t)
 	server := httptest.NewServer(DeclineHandler("no room"))
 	defer server.Close()
-	result, err := NewClient(http.DefaultTransport).Run(context.Background(), server.Listener.Addr().String(), wholeStatement())
+	s := wholeStatement()
+	s.Text = strings.Repeat("x", 1<<20)
+	result, err := NewClient(http.DefaultTransport).Run(context.Background(), server.Listener.Addr().String(), s)
 	is.NoErr(err)
 	is.Equal(result.Declined, "no room")
 	is.True(!result.Stopping)
--- a/bbrnode/limits.go
+++ b/bbrnode/limits.go
@@ -1,14 +1,17 @@
 package bbrnode
 
 import (
+	"context"
 	"math"
 	"net"
 	"net/http"
 	"runtime/debug"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
 
 	"github.com/bluebellroute/bluebellroute/bbrbudget"
 	"github.com/bluebellroute/bluebellroute/bbrmessage"
@@ -74,6 +77,21 @@
 	}})
 }
 
+// receiveBuffer is the size of the kernel's buffer for what a caller sends and the instance has
+// not read, in bytes; the kernel doubles it. It counts for the process's memory on some platforms.
+const receiveBuffer = 16 << 10
+
+// listenForCallers listens on an address with a small receive buffer, which the connections
+// inherit. It is best effort.
+func listenForCallers(ctx context.Context, address string) (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) {
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer)
+		})
+	}}
+	return config.Listen(ctx, "tcp", address)
+}
+
 const (
 	// maxHeaderBytes bounds the header of an HTTP request.
 	maxHeaderBytes = 16 << 10
--- a/bbrnode/run.go
+++ b/bbrnode/run.go
@@ -38,7 +38,7 @@
 // effect: the addresses and the name are fixed for the life of the process.
 func (n *Node) run(ctx context.Context, load func() (*Settings, error), reload <-chan os.Signal) error {
 	n.log.WithFields(logrus.Fields{"name": n.settings.Name, "dataCentre": n.settings.DataCentre, "callers": n.settings.CallerAddress}).Info("start")
-	callers, err := net.Listen("tcp", n.settings.CallerAddress)
+	callers, err := listenForCallers(ctx, n.settings.CallerAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
