--- a/bbrnode/metric.go
+++ b/bbrnode/metric.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/bluebellroute/bluebellroute/bbrbudget"
 	"github.com/bluebellroute/bluebellroute/bbrcatalog"
 	"github.com/bluebellroute/bluebellroute/bbrfollow"
 	"github.com/bluebellroute/bluebellroute/bbrsession"
@@ -43,6 +44,8 @@
 	ignoredRows *prometheus.CounterVec
 	// followersLeft counts the followers that were left, by bbrfollow.Reason.
 	followersLeft *prometheus.CounterVec
+	// limits counts what was refused or closed because of a limit.
+	limits *prometheus.CounterVec
 
 	mu     sync.Mutex
 	routes map[bbrtype.RouteName]bool
@@ -73,8 +76,11 @@
 		followersLeft: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bbr_node_followers_left_total", Help: "Instances that were followed and left, by reason.",
 		}, []string{"reason"}),
+		limits: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bbr_node_limits_total", Help: "Connections, messages and requests that were refused or closed because of a limit.",
+		}, []string{"reason"}),
 	}
-	m.registry.MustRegister(m.statements, m.phases, m.forwards, m.storeCalls, m.entriesLeftOut, m.ignoredRows, m.followersLeft)
+	m.registry.MustRegister(m.statements, m.phases, m.forwards, m.storeCalls, m.entriesLeftOut, m.ignoredRows, m.followersLeft, m.limits)
 	m.showZeros()
 	return m
 }
@@ -90,6 +96,9 @@
 	for _, reason := range bbrfollow.Reasons() {
 		m.followersLeft.WithLabelValues(string(reason))
 	}
+	for _, reason := range bbrbudget.Reasons {
+		m.limits.WithLabelValues(string(reason))
+	}
 	for _, outcome := range []bbrsession.ForwardOutcome{bbrsession.ForwardDone, bbrsession.ForwardDeclined, bbrsession.ForwardNotSent, bbrsession.ForwardLost} {
 		m.forwards.WithLabelValues(string(outcome))
 	}
