--- a/bbrnode/limits.go
+++ b/bbrnode/bounds.go
@@ -17,8 +17,8 @@
 	"github.com/bluebellroute/bluebellroute/bbrmessage"
 )
 
-// limitLogInterval is the interval at which each reason of a limit is logged at most.
-const limitLogInterval = time.Second
+// boundLogInterval is the interval at which each reason of a limit is logged at most.
+const boundLogInterval = time.Second
 
 // limitRecorder counts what the limits of an instance did, and logs it at a bounded rate.
 type limitRecorder struct {
@@ -42,7 +42,7 @@
 	defer l.mu.Unlock()
 	l.unlogged[reason]++
 	now := time.Now()
-	if now.Sub(l.loggedAt[reason]) < limitLogInterval {
+	if now.Sub(l.loggedAt[reason]) < boundLogInterval {
 		return
 	}
 	l.log.WithFields(logrus.Fields{"reason": reason, "count": l.unlogged[reason]}).Warn("refused or closed beyond a limit")
