--- a/bbrnode/limits_test.go
+++ b/bbrnode/bounds_test.go
@@ -51,7 +51,7 @@
 		l.RecordLimit(bbrbudget.ReasonStalled)
 		is.Equal(strings.Count(out.String(), "reason=connections"), 1)
 		is.Equal(strings.Count(out.String(), "reason=stalled"), 1)
-		time.Sleep(limitLogInterval)
+		time.Sleep(boundLogInterval)
 		l.RecordLimit(bbrbudget.ReasonConnections)
 		is.True(strings.Contains(out.String(), "count=1000 reason=connections"))
 	})
