--- a/bbrlimit/bucket.go
+++ b/bbrlimit/bucket.go
@@ -53,8 +53,8 @@
 // setLimit changes the limit. Tokens beyond a lower capacity are lost.
 func (b *Bucket) setLimit(now bbrtype.Mono, l Limit, owners int) {
 	b.fill(now)
-	b.rate = l.RatePerSecond / float64(owners)
-	b.capacity = (l.Burst + capacityReserve) / float64(owners)
+	b.rate = l.refill() / float64(owners)
+	b.capacity = l.capacity() / float64(owners)
 	b.level = min(b.level, b.capacity)
 }
 
--- a/bbrlimit/limit.go
+++ b/bbrlimit/limit.go
@@ -9,11 +9,13 @@
 // loses its tokens. In any Window, the operations of a tenant are therefore at most Bound,
 // whichever instances are cut off, suspended or gone. While an owner does not respond, its
 // part of the limit is not used, and the buckets of an instance that starts are empty. What
-// the bound allows beyond the rate and the burst is spent on two things:
+// the bound allows beyond the rate and the burst is spent on three things:
 //
 //   - capacityReserve, by which the buckets are larger than the burst: it keeps the buckets
 //     of a small tenant usable, although its burst is divided among the owners,
-//   - the time for which spare tokens may be kept, see Limit.TokenLifetime.
+//   - the time for which spare tokens may be kept, see Limit.TokenLifetime,
+//   - a refill of the buckets that is higher than the rate, so that little is rejected that
+//     the bound allows.
 //
 // The package is pure: it holds no lock and reads no clock.
 //
@@ -44,12 +46,23 @@
 	excessOperations = 20
 )
 
-// capacityReserve is how many tokens the buckets of a tenant hold beyond its burst. It is a
-// part of excessOperations, the rest of which is spent on TokenLifetime.
-const capacityReserve = 10
+const (
+	// capacityReserve is how many tokens the buckets of a tenant hold beyond its burst.
+	capacityReserve = 10
+	// usedBound is the part of the bound that is used.
+	usedBound = 0.98
+	// maxRefill bounds the refill of the buckets, as a multiple of the rate.
+	maxRefill = 1.5
+)
 
-// maxTokenLifetime bounds the lifetime of tokens, so that a lower limit soon binds.
-const maxTokenLifetime = 5 * time.Second
+// The lifetime of tokens is minTokenLifetime, and longer for tenants whose operations are rare:
+// the time in which lifetimeOperations begin at the tenant's rate, if that is below
+// maxTokenLifetime.
+const (
+	minTokenLifetime   = 250 * time.Millisecond
+	maxTokenLifetime   = 5 * time.Second
+	lifetimeOperations = 2
+)
 
 // Limit is the limit of a tenant's operations over all instances.
 type Limit struct {
@@ -75,6 +88,17 @@
 	if l.RatePerSecond <= 0 {
 		return maxTokenLifetime
 	}
-	excess := (l.RatePerSecond*Window.Seconds()+l.Burst)*excessShare + excessOperations - capacityReserve
-	return min(maxTokenLifetime, time.Duration(excess/l.RatePerSecond*float64(time.Second)))
+	rare := min(maxTokenLifetime.Seconds(), lifetimeOperations/l.RatePerSecond)
+	return max(minTokenLifetime, time.Duration(rare*float64(time.Second)))
+}
+
+// capacity returns how many tokens the buckets of all owners hold.
+func (l Limit) capacity() float64 { return l.Burst + capacityReserve }
+
+// refill returns how many tokens the buckets of all owners get in a second: as many as the
+// bound allows besides a burst.
+func (l Limit) refill() float64 {
+	inWindow := usedBound*l.Bound() - l.capacity()
+	perSecond := inWindow / (Window + l.TokenLifetime()).Seconds()
+	return min(maxRefill*l.RatePerSecond, perSecond)
 }
