--- a/bbrforward/forward_test.go
+++ b/bbrforward/forward_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -77,6 +78,20 @@
 	is.True(errors.Is(err, ErrNotSent))
 }
 
+// TestDeclinedUnread checks that a statement that is declined without being read is not taken for
+// one that may have run.
+func TestDeclinedUnread(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(DeclineHandler("no room"))
+	defer server.Close()
+	s := wholeStatement()
+	s.Text = strings.Repeat("x", 1<<20)
+	result, err := NewClient(http.DefaultTransport).Run(context.Background(), server.Listener.Addr().String(), s)
+	is.NoErr(err)
+	is.Equal(result.Declined, "no room")
+	is.True(!result.Stopping)
+}
+
 // FuzzRunRequest decodes a request and checks what decisions rely on.
 func FuzzRunRequest(f *testing.F) {
 	for _, r := range []*forwardpb.RunRequest{encodeStatement(wholeStatement()), {Operation: "read", ArrivedAgoUs: -1 << 63, BegunAgoUs: 1<<63 - 1, Route: &forwardpb.Route{Policy: "primary", StatementTimeoutUs: 1<<63 - 1}}, {}} {
--- a/bbrnode/node.go
+++ b/bbrnode/node.go
@@ -36,6 +36,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/bluebellroute/bluebellroute/bbrbudget"
 	"github.com/bluebellroute/bluebellroute/bbrcatalog"
 	"github.com/bluebellroute/bluebellroute/bbrdirectory"
 	"github.com/bluebellroute/bluebellroute/bbrforward"
@@ -97,6 +98,10 @@
 	catalog    bbrcatalog.Holder
 	sessions   *bbrsession.Server
 	metrics    *metrics
+	// budget is what callers may make the instance hold, peerBudget what other instances may.
+	limits             bbrbudget.Limits
+	limitRecorder      *limitRecorder
+	budget, peerBudget *bbrbudget.Budget
 	// storeProofFlight and peerProofFlight merge concurrent requests for proofs to
 	// the store and to the proof delegate.
 	storeProofFlight singleFlight
@@ -123,6 +128,7 @@
 	// peers are the other instances that the store lists.
 	peers  []instanceEntry
 	mirror bbrrows.Mirror
+	tables tableReads
 	// loaded holds the tables that have been read from the store in full.
 	// unavailable holds the tables that cannot be read from the store at present.
 	loaded      map[string]bool
@@ -170,6 +176,10 @@
 		changing:           map[bbrtype.GroupName]bool{},
 		progress:           map[bbrtype.GroupName]replicationProgress{},
 	}
+	n.limits = bbrbudget.NewLimits(s.Memory, s.Descriptors)
+	n.limitRecorder = newLimitRecorder(log, m)
+	n.budget = bbrbudget.New(n.limits, n.limitRecorder)
+	n.peerBudget = bbrbudget.New(bbrbudget.Limits{Messages: n.limits.Peers}, n.limitRecorder)
 	n.setFleet(nil)
 	n.eraCtx, n.endEra = context.WithCancel(context.Background())
 	n.limiter = newLimiter(n)
@@ -209,12 +219,15 @@
 // followedTables returns the tables that the instance follows.
 func (n *Node) followedTables() []followedTable {
 	return []followedTable{
-		{name: n.platform.ConfigTable, pollTimeout: max(time.Second, n.settings.ConfigTimeout-replyMargin)},
+		{
+			name: n.platform.ConfigTable, pollTimeout: max(time.Second, n.settings.ConfigTimeout-replyMargin),
+			sharedAge: max(time.Second, n.settings.ConfigTimeout/2),
+		},
 		{
 			name: n.platform.MemberTable, pollTimeout: max(time.Second, n.settings.DrainTimeout/2),
-			pollInterval: n.settings.DrainTimeout / memberPollShare,
+			pollInterval: n.settings.DrainTimeout / memberPollShare, sharedAge: max(time.Second, n.settings.DrainTimeout/2),
 		},
-		{name: groupTable, pollTimeout: recordPollTimeout},
+		{name: groupTable, pollTimeout: recordPollTimeout, sharedAge: sharedRecordAge},
 	}
 }
 
@@ -295,7 +308,8 @@
 			}
 			g = bbrlink.NewGroup(name, bbrlink.Deps{
 				Dial: n.platform.DialMember, DialTenant: n.platform.DialTenant, Clock: n.clock, Log: n.log, Tasks: n.background,
-				DataCentre: n.settings.DataCentre, DrainTimeout: n.settings.DrainTimeout, Share: n.share, MayHaveConfirmed: n.mayHaveConfirmed, SeenMembers: n.seenMembers, IsChanging: n.isChanging, OrderedMembers: n.orderedMembers,
+				DataCentre: n.settings.DataCentre, DrainTimeout: n.settings.DrainTimeout, Share: n.share, Sharing: n.sharing,
+				MayHaveConfirmed: n.mayHaveConfirmed, SeenMembers: n.seenMembers, IsChanging: n.isChanging, OrderedMembers: n.orderedMembers,
 				RecordsReadAt:  n.recordsReadAt,
 				ProveFromStore: n.proveFromStore, FetchPeerProofs: n.fetchPeerProofs,
 			})
--- a/bbrnode/watch.go
+++ b/bbrnode/watch.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/bluebellroute/bluebellroute/bbrfollow"
 	"github.com/bluebellroute/bluebellroute/bbrrows"
 	"github.com/bluebellroute/bluebellroute/bbrtype"
 )
@@ -28,6 +29,11 @@
 	// memberPollShare is how many polls for changes of the members' entries begin at most
 	// within the time after which a draining member must receive no more statements.
 	memberPollShare = 10
+	// sharedPollTimeout bounds the long polls of an instance that others follow.
+	sharedPollTimeout = 12 * time.Second
+	// sharedRecordAge is the age above which such an instance asks for changes of the groups'
+	// records anew.
+	sharedRecordAge = 5 * time.Second
 	// resumePollTimeout bounds the first poll after a failed one. The store may have been
 	// restored meanwhile, which its reply shows.
 	resumePollTimeout = time.Millisecond
@@ -45,20 +51,73 @@
 	// bounds the calls to the store while one row after the other changes, as when many
 	// members start.
 	pollInterval time.Duration
+	// sharedAge is the age above which an instance that others follow asks for changes anew,
+	// though a long poll is in progress.
+	sharedAge time.Duration
 }
 
-// followTable reads a table and then applies its changes until ctx ends.
+// pollTimeoutOf returns the bound of a long poll for changes of a table.
+func (n *Node) pollTimeoutOf(t followedTable) time.Duration {
+	if n.mayBeFollowed() {
+		return sharedPollTimeout
+	}
+	return t.pollTimeout
+}
+
+// mayBeFollowed reports whether others may follow this instance. Until the list of instances
+// is read, there may be many.
+func (n *Node) mayBeFollowed() bool {
+	return !n.isListed() || bbrfollow.AreMany(len(n.neighbours())+1)
+}
+
+// errReadOld means that a long poll was given up because what is known of the table is old.
+var errReadOld = errors.New("the table was not read for too long")
+
+// withinAge returns a context that ends with errReadOld once the newest read of a table is
+// older than others may use.
+func (n *Node) withinAge(ctx context.Context, t followedTable) (context.Context, context.CancelCauseFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	if !n.mayBeFollowed() {
+		return ctx, cancel
+	}
+	n.runAsync(func() {
+		for startedAt := n.clock.Now(); ctx.Err() == nil; {
+			left := max(startedAt, n.tableReads()[t.name].SentAt).Add(t.sharedAge).Sub(n.clock.Now())
+			if left <= 0 {
+				cancel(errReadOld)
+			}
+			bbrtype.Sleep(ctx, left)
+		}
+	})
+	return ctx, cancel
+}
+
+// followTable reads a table and then applies its changes until ctx ends. It pauses while
+// this instance follows another one.
 func (n *Node) followTable(ctx context.Context, t followedTable) {
-	var cursor *bbrrows.Version
+	cursor := n.awaitSeed(ctx, t.name)
 	pause := minStoreBackoff
-	wait := t.pollTimeout
+	wait := n.pollTimeoutOf(t)
 	log := n.log.WithField("table", t.name)
 	for ctx.Err() == nil {
+		if cursor != nil && n.awaitDuty(ctx) {
+			cursor, wait = n.resumeCursor(t.name, *cursor), resumePollTimeout
+		}
 		startedAt := n.clock.Now()
-		next, err := n.readTable(ctx, t.name, cursor, wait)
+		pollCtx, cancel := n.withinAge(ctx, t)
+		next, err := n.readTable(pollCtx, t.name, cursor, wait)
+		isOld := err != nil && errors.Is(context.Cause(pollCtx), errReadOld)
+		cancel(nil)
+		if isOld {
+			wait = resumePollTimeout
+			continue
+		}
 		if err == nil {
 			cursor = next
-			wait = t.pollTimeout
+			wait = n.pollTimeoutOf(t)
+			if next != nil {
+				n.recordTableRead(t.name, bbrfollow.TableRead{Version: *next, SentAt: startedAt})
+			}
 			if n.setUnavailable(t.name, false) {
 				log.Info("store regained")
 			}
@@ -125,6 +184,7 @@
 	}
 	n.log.WithFields(versionFields(version)).WithFields(logrus.Fields{"table": table, "rows": len(rows)}).Info("whole table read")
 	n.applyTable(table, rows, version)
+	n.recordTableRead(table, bbrfollow.TableRead{Version: version, SentAt: sentAt})
 	if table == groupTable {
 		n.recordRecordsRead(version, sentAt)
 	}
@@ -163,6 +223,7 @@
 	wasUnavailable := n.unavailable[table]
 	if unavailable {
 		n.unavailable[table] = true
+		n.tables.recordFailure(table, n.clock.Now())
 		n.directory.RecordReadFailure(n.clock.Now())
 	} else {
 		delete(n.unavailable, table)
@@ -177,6 +238,7 @@
 	defer n.mu.Unlock()
 	n.logIgnored(rows)
 	n.applyChanged(n.mirror.ApplySnapshot(table, rows, version))
+	n.tables.setComplete(table, version)
 	n.loaded[table] = true
 }
 
@@ -194,8 +256,11 @@
 
 // applyChanged applies rows that have changed. n.mu must be held.
 func (n *Node) applyChanged(rows []bbrrows.Row) {
+	instancesChanged := false
 	for _, r := range rows {
 		switch r.Table {
+		case instanceTable:
+			instancesChanged = true
 		case n.platform.ConfigTable:
 			n.applyCatalogue(r)
 		case n.platform.MemberTable:
@@ -204,7 +269,11 @@
 			n.applyRecord(r)
 		}
 	}
+	if instancesChanged {
+		n.applyInstances(n.mirror.Snapshot(instanceTable))
+	}
 	if len(rows) > 0 {
 		n.refreshGroups()
+		n.tables.notify()
 	}
 }
--- a/bbrplace/queue.go
+++ b/bbrplace/queue.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/bluebellroute/bluebellroute/bbrfair"
 	"github.com/bluebellroute/bluebellroute/bbrmessage"
 	"github.com/bluebellroute/bluebellroute/bbrtype"
 )
@@ -72,6 +73,12 @@
 	// RejectOverload means that the members have more statements in flight and queued
 	// than they can serve in time.
 	RejectOverload RejectReason = "overload"
+	// RejectLate means that the statement is late, and that more statements are late than
+	// the members can serve beside those that are not.
+	RejectLate RejectReason = "late"
+	// RejectQueueFull means that the queue is full, and that this statement comes first in
+	// the order of rejection.
+	RejectQueueFull RejectReason = "queueFull"
 	// RejectConnectionsRefused means that all eligible members refuse connections of
 	// this instance, and it has none open.
 	RejectConnectionsRefused RejectReason = "connectionsRefused"
@@ -84,7 +91,7 @@
 // rejects it.
 func (s *Scheduler) Submit(w *Waiter, now bbrtype.Mono) {
 	if m := s.pick(&w.Requirements, now); m != nil {
-		m.acquire(now)
+		s.grantTo(m, w, now)
 		w.OnGrant(m.ID)
 		return
 	}
@@ -95,11 +102,33 @@
 			return
 		}
 	}
+	s.enqueue(w, now)
+}
+
+// grantTo records that a member is granted to a statement.
+func (s *Scheduler) grantTo(m *memberState, w *Waiter, now bbrtype.Mono) {
+	s.sampleUsage()
+	m.recordKind(&w.Requirements)
+	m.beginLagTrial(&w.Requirements, now)
+	m.acquire(now)
+	s.granted(w, now)
+}
+
+// enqueue adds a statement to the queue. If the queue is full, one statement is rejected.
+func (s *Scheduler) enqueue(w *Waiter, now bbrtype.Mono) {
 	s.seq++
 	w.seq = s.seq
-	w.queued = true
-	i, _ := slices.BinarySearchFunc(s.queue, w, compareWaiters)
-	s.queue = slices.Insert(s.queue, i, w)
+	victim := s.evict(w)
+	if victim != w {
+		w.queued = true
+		i, _ := slices.BinarySearchFunc(s.queue, w, compareWaiters)
+		s.queue = slices.Insert(s.queue, i, w)
+		s.enqueued(w, now)
+	}
+	if victim != nil {
+		s.Remove(victim)
+		victim.OnReject(RejectQueueFull)
+	}
 }
 
 // compareWaiters orders by priority, then by latency objective, then by arrival.
@@ -113,7 +142,7 @@
 	return compare(a.seq, b.seq)
 }
 
-func compare[T time.Duration | uint64](a, b T) int {
+func compare[T time.Duration | uint64 | bbrfair.Time](a, b T) int {
 	if a < b {
 		return -1
 	}
@@ -123,18 +152,12 @@
 	return 0
 }
 
-// willBeLate reports whether a statement is late: the expected reply would miss the
-// latency objective even if the statement were sent now.
-func (s *Scheduler) willBeLate(w *Waiter, now bbrtype.Mono) bool {
-	return w.SoftDeadline != 0 && now.Add(s.minLatency(&w.Requirements, now)) > w.SoftDeadline
-}
-
 // minLatency returns the lowest latency of the members that are available for a
 // statement, 0 if there is no such member.
 func (s *Scheduler) minLatency(r *Requirements, now bbrtype.Mono) time.Duration {
 	lowest := time.Duration(0)
 	for _, m := range s.members {
-		if m.isAvailable(r, now) && (lowest == 0 || m.latency < lowest) {
+		if s.serves(m, r, now) && (lowest == 0 || m.latency < lowest) {
 			lowest = m.latency
 		}
 	}
@@ -149,6 +172,7 @@
 		return false
 	}
 	w.queued = false
+	s.dequeued(w)
 	s.queue = slices.DeleteFunc(s.queue, func(o *Waiter) bool { return o == w })
 	return true
 }
@@ -165,6 +189,7 @@
 // acquire counts a statement as in flight at the member.
 func (m *memberState) acquire(now bbrtype.Mono) {
 	m.inFlight++
+	m.granted++
 	if m.saturatedSince == 0 && !m.hasCapacity(now) {
 		m.saturatedSince = now
 	}
@@ -175,15 +200,13 @@
 // eligible members all refuse connections.
 func (s *Scheduler) Dispatch(now bbrtype.Mono) {
 	d := dispatchPass{scheduler: s, now: now}
-	for priority, remaining := 0, s.queue; len(remaining) > 0; {
-		priority = remaining[0].Priority
-		n := slices.IndexFunc(remaining, func(w *Waiter) bool { return w.Priority != priority })
-		if n < 0 {
-			n = len(remaining)
-		}
-		d.process(remaining[:n], false)
-		d.process(remaining[:n], true)
-		remaining = remaining[n:]
+	for _, waiters := range s.starving(now) {
+		d.grantOne(waiters)
+	}
+	for _, waiters := range byPriority(s.queue) {
+		onTime, late := d.split(waiters)
+		d.process(onTime, false)
+		d.process(late, true)
 	}
 	s.queue = slices.DeleteFunc(s.queue, func(w *Waiter) bool { return !w.queued })
 	for _, m := range s.members {
@@ -191,6 +214,7 @@
 			m.saturatedSince = 0
 		}
 	}
+	s.recordLateWait(d.lateWait, now)
 	for _, call := range d.callbacks {
 		call()
 	}
@@ -202,40 +226,91 @@
 	scheduler *Scheduler
 	now       bbrtype.Mono
 	callbacks []func()
+	// lateWait is set if late statements stay in the queue.
+	lateWait bool
 }
 
-// process grants members to the statements of one priority or rejects them. If late
-// is set, it handles only late statements, else only statements that are not late.
-func (d *dispatchPass) process(waiters []*Waiter, late bool) {
+// split splits the statements of one priority into those that are not late and those that
+// are, each in the order in which they are granted.
+func (d *dispatchPass) split(waiters []*Waiter) (onTime, late []*Waiter) {
 	for _, w := range waiters {
-		if d.scheduler.willBeLate(w, d.now) != late {
-			continue
+		switch {
+		case !w.queued:
+		case d.scheduler.willBeLate(w, d.now):
+			late = append(late, w)
+		default:
+			onTime = append(onTime, w)
 		}
-		if m := d.scheduler.pick(&w.Requirements, d.now); m != nil {
-			m.acquire(d.now)
+	}
+	return d.scheduler.order(onTime), d.scheduler.order(late)
+}
+
+// process grants members to the statements of one priority or rejects them. late is set
+// if they are late.
+func (d *dispatchPass) process(waiters []*Waiter, late bool) {
+	ahead := 0
+	for _, w := range waiters {
+		if d.grant(w) {
 			if late {
-				d.scheduler.lastLateGrant = d.now
+				d.scheduler.recordLateGrant(d.now)
+			}
+		} else if reason, ok := d.shouldReject(w, late, ahead); ok {
+			d.dequeue(w)
+			if reason != RejectLate {
+				d.scheduler.recordRejection(&w.Requirements, d.now)
 			}
-			w.queued = false
-			id := m.ID
-			d.callbacks = append(d.callbacks, func() { w.OnGrant(id) })
-		} else if reason, ok := d.shouldReject(w, late); ok {
-			w.queued = false
-			d.scheduler.recordRejection(&w.Requirements, d.now)
 			d.callbacks = append(d.callbacks, func() { w.OnReject(reason) })
+		} else {
+			ahead++
+		}
+	}
+	d.lateWait = d.lateWait || late && ahead > 0
+}
+
+// grantOne grants a member to the first of the statements of one priority that one has
+// capacity for.
+func (d *dispatchPass) grantOne(waiters []*Waiter) {
+	onTime, late := d.split(waiters)
+	for _, w := range append(onTime, late...) {
+		if d.grant(w) {
+			return
 		}
 	}
 }
 
-// shouldReject reports whether a queued statement is rejected, and why.
-func (d *dispatchPass) shouldReject(w *Waiter, late bool) (RejectReason, bool) {
+// grant grants a member to a statement. It returns false if none has capacity.
+func (d *dispatchPass) grant(w *Waiter) bool {
+	m := d.scheduler.pick(&w.Requirements, d.now)
+	if m == nil {
+		return false
+	}
+	d.scheduler.grantTo(m, w, d.now)
+	d.dequeue(w)
+	id := m.ID
+	d.callbacks = append(d.callbacks, func() { w.OnGrant(id) })
+	return true
+}
+
+// dequeue marks a statement as no longer queued. Dispatch removes it after the pass.
+func (d *dispatchPass) dequeue(w *Waiter) {
+	w.queued = false
+	d.scheduler.dequeued(w)
+}
+
+// shouldReject reports whether a queued statement is rejected, and why. ahead is the number
+// of statements of its priority that come before it and are late if it is.
+func (d *dispatchPass) shouldReject(w *Waiter, late bool, ahead int) (RejectReason, bool) {
 	switch {
 	case w.OnReject == nil:
 		return "", false
 	case d.scheduler.allRefuseConnections(&w.Requirements, d.now):
 		return RejectConnectionsRefused, true
 	}
-	return RejectOverload, late && d.scheduler.shouldRejectLate(&w.Requirements, d.now)
+	r := &w.Requirements
+	if late && !d.scheduler.shouldRejectLate(r, d.now) && d.scheduler.isHopeless(r, ahead, d.now) {
+		return RejectLate, true
+	}
+	return RejectOverload, late && d.scheduler.shouldRejectLate(r, d.now)
 }
 
 // isSaturated reports whether every member that is available for a statement has
@@ -244,7 +319,7 @@
 func (s *Scheduler) isSaturated(r *Requirements, atLeast time.Duration, now bbrtype.Mono) bool {
 	found := false
 	for _, m := range s.members {
-		if !m.isAvailable(r, now) {
+		if !s.serves(m, r, now) {
 			continue
 		}
 		if m.saturatedSince == 0 || now.Sub(m.saturatedSince) < atLeast {
@@ -298,21 +373,30 @@
 	return RejectOverload, replyAt > w.Deadline || replyAt > w.SoftDeadline && s.shouldRejectLate(&w.Requirements, now)
 }
 
-// expectedReplyTime estimates the time until the reply to a new statement, from the
-// latency of the members and the number of statements ahead of it in the queue. It
-// returns false if no member has any capacity because idle transactions use all
-// connections: the end of these transactions can't be predicted.
-func (s *Scheduler) expectedReplyTime(r *Requirements, now bbrtype.Mono) (time.Duration, bool) {
+// waitingBefore returns the number of queued statements that come before a new one.
+func (s *Scheduler) waitingBefore(r *Requirements, now bbrtype.Mono) int {
 	ahead := 0
 	for _, o := range s.queue {
-		if o.Priority < r.Priority || o.Priority == r.Priority && o.LatencyObjective <= r.LatencyObjective && !s.willBeLate(o, now) {
+		if o.Priority < r.Priority || r.Tenant == "" && o.Priority == r.Priority && o.LatencyObjective <= r.LatencyObjective && !s.willBeLate(o, now) {
 			ahead++
 		}
 	}
+	if r.Tenant != "" {
+		ahead += s.turnsBefore(r, now)
+	}
+	return ahead
+}
+
+// expectedReplyTime estimates the time until the reply to a new statement, from the
+// latency of the members and the number of statements ahead of it in the queue. It
+// returns false if no member has any capacity because idle transactions use all
+// connections: the end of these transactions can't be predicted.
+func (s *Scheduler) expectedReplyTime(r *Requirements, now bbrtype.Mono) (time.Duration, bool) {
+	ahead := s.waitingBefore(r, now)
 	// statementsPerHour is the throughput of the members as a whole number.
 	statementsPerHour, latency := time.Duration(0), time.Duration(0)
 	for _, m := range s.members {
-		if m.isAvailable(r, now) {
+		if s.serves(m, r, now) {
 			statementsPerHour += time.Duration(m.capacity(now)) * time.Hour / max(m.latency, time.Millisecond)
 			latency = max(latency, m.latency)
 		}
