--- a/bbrnode/limit.go
+++ b/bbrnode/limit.go
@@ -112,7 +112,6 @@
 	l.prune()
 	l.holder.Count(l.node.clock.Now(), tenant)
 	l.mu.Unlock()
-	retryAfter := unknownRetry
 	for range maxTakes {
 		admission := l.decide(tenant, limit)
 		switch admission.Outcome {
@@ -130,7 +129,7 @@
 		}
 	}
 	l.metrics.count(operationRejected)
-	return false, spread(retryAfter)
+	return false, spread(unknownRetry)
 }
 
 // spread lengthens the times that callers are told by different amounts, so that they do not
