Refill the buckets of limits at the rate, not up to the bound

The bound's tolerance is for what instances can't know of each other; using it up let a tenant begin 1.04 of its rate for good, and 1.8 of it where the rate is 1/s. All tests of bbrlimit pass as they are, TestShareOfTheLimitThatIsUsed (nothing owed is refused) included.

--- a/bbrlimit/limit.go
+++ b/bbrlimit/limit.go
@@ -9,13 +9,11 @@
 // loses its tokens. In any Window, the operations of a tenant are therefore at most Bound,
 // whichever instances are cut off, suspended or gone. While an owner does not respond, its
 // part of the limit is not used, and the buckets of an instance that starts are empty. What
-// the bound allows beyond the rate and the burst is spent on three things:
+// the bound allows beyond the rate and the burst is spent on two things:
 //
 //   - capacityReserve, by which the buckets are larger than the burst: it keeps the buckets
 //     of a small tenant usable, although its burst is divided among the owners,
-//   - the time for which spare tokens may be kept, see Limit.TokenLifetime,
-//   - a refill of the buckets that is higher than the rate, so that little is rejected that
-//     the bound allows.
+//   - the time for which spare tokens may be kept, see Limit.TokenLifetime.
 //
 // The package is pure: it holds no lock and reads no clock.
 //
@@ -49,10 +47,6 @@
 const (
 	// capacityReserve is how many tokens the buckets of a tenant hold beyond its burst.
 	capacityReserve = 10
-	// usedBound is the part of the bound that is used.
-	usedBound = 0.98
-	// maxRefill bounds the refill of the buckets, as a multiple of the rate.
-	maxRefill = 1.5
 )
 
 // The lifetime of tokens is minTokenLifetime, and longer for tenants whose operations are rare:
@@ -95,10 +89,5 @@
 // capacity returns how many tokens the buckets of all owners hold.
 func (l Limit) capacity() float64 { return l.Burst + capacityReserve }
 
-// refill returns how many tokens the buckets of all owners get in a second: as many as the
-// bound allows besides a burst.
-func (l Limit) refill() float64 {
-	inWindow := usedBound*l.Bound() - l.capacity()
-	perSecond := inWindow / (Window + l.TokenLifetime()).Seconds()
-	return min(maxRefill*l.RatePerSecond, perSecond)
-}
+// refill returns how many tokens the buckets of all owners get in a second.
+func (l Limit) refill() float64 { return l.RatePerSecond }
