--- a/bbrplace/scheduler_test.go
+++ b/bbrplace/scheduler_test.go
@@ -184,8 +184,8 @@
 		prepare func(*Scheduler)
 		want    time.Duration
 	}{
-		"no pause":             {prepare: func(*Scheduler) {}},
-		"no reply":             {prepare: func(s *Scheduler) { s.RecordNoReply("r1", start) }, want: noReplyPause},
+		"no pause": {prepare: func(*Scheduler) {}},
+		"no reply": {prepare: func(s *Scheduler) { s.RecordNoReply("r1", start) }, want: noReplyPause},
 		"the first pause ends": {prepare: func(s *Scheduler) {
 			s.RecordNoReply("r2", start.Add(time.Millisecond))
 			s.RecordNoReply("r1", start)
