--- a/bbrlink/group.go
+++ b/bbrlink/group.go
@@ -191,6 +191,7 @@
 		reached:       map[bbrtype.MemberName]bbrmessage.LogPosition{},
 		strays:        map[StrayKind]uint64{strayRepeated: 0, strayUnsigned: 0, strayUnexpected: 0, strayFailure: 0},
 
+		refused:         newRefusals(),
 		positionQueries: map[bbrtype.MemberName]bool{},
 		reports:         map[bbrtype.MemberName]statusReport{},
 	}
--- a/bbrlink/refused.go
+++ b/bbrlink/refused.go
@@ -17,9 +17,16 @@
 // reasonTimeout is the reason of statements that waited until their deadline.
 const reasonTimeout bbrplace.RejectReason = "timeout"
 
+// newRefusals returns refusals that count 0 for each reason.
+func newRefusals() refusals {
+	return refusals{byReason: map[bbrplace.RejectReason]uint64{
+		reasonTimeout: 0, bbrplace.RejectLate: 0, bbrplace.RejectOverload: 0, bbrplace.RejectQueueFull: 0, bbrplace.RejectConnectionsRefused: 0,
+	}}
+}
+
 // refusals counts the statements that got no slot.
 type refusals struct {
-	byReason map[string]uint64
+	byReason map[bbrplace.RejectReason]uint64
 	// loggedAt is when the last line was logged, unlogged the number of statements since.
 	loggedAt bbrtype.Mono
 	unlogged int
@@ -30,10 +37,7 @@
 func (g *Group) reject(req bbrplace.Requirements, reason bbrplace.RejectReason) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.refused.byReason == nil {
-		g.refused.byReason = map[string]uint64{}
-	}
-	g.refused.byReason[string(reason)]++
+	g.refused.byReason[reason]++
 	g.refused.unlogged++
 	now := g.Clock.Now()
 	if g.refused.loggedAt == 0 || now.Sub(g.refused.loggedAt) >= refusedLogInterval {
@@ -66,7 +70,7 @@
 
 // Rejections returns the number of statements that got no slot, by reason, and the number
 // of times that a member was ejected.
-func (g *Group) Rejections() (byReason map[string]uint64, ejections uint64) {
+func (g *Group) Rejections() (byReason map[bbrplace.RejectReason]uint64, ejections uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return maps.Clone(g.refused.byReason), g.scheduler.Ejections()
--- a/bbrnode/collector.go
+++ b/bbrnode/collector.go
@@ -87,20 +87,16 @@
 	}
 }
 
-// collectLoad exports the load of a group's members and the statements that got no slot. An
-// instance that has sent a member nothing exports no series for it.
+// collectLoad exports the load of a group's members and the statements that got no slot.
 func (c collector) collectLoad(out chan<- prometheus.Metric, g *bbrlink.Group) {
 	name := string(g.Name())
 	for _, m := range g.MemberLoads() {
-		if m.Granted == 0 {
-			continue
-		}
 		out <- prometheus.MustNewConstMetric(grantedDesc, prometheus.CounterValue, float64(m.Granted), name, string(m.Member))
 		out <- prometheus.MustNewConstMetric(inFlightDesc, prometheus.GaugeValue, float64(m.InFlight), name, string(m.Member))
 	}
 	byReason, ejections := g.Rejections()
 	out <- prometheus.MustNewConstMetric(ejectionsDesc, prometheus.CounterValue, float64(ejections), name)
 	for reason, count := range byReason {
-		out <- prometheus.MustNewConstMetric(rejectedDesc, prometheus.CounterValue, float64(count), name, reason)
+		out <- prometheus.MustNewConstMetric(rejectedDesc, prometheus.CounterValue, float64(count), name, string(reason))
 	}
 }
--- a/bbrnode/metric_test.go
+++ b/bbrnode/metric_test.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/bluebellroute/bluebellroute/bbrcatalog"
+	"github.com/bluebellroute/bluebellroute/bbrdirectory"
 	"github.com/bluebellroute/bluebellroute/bbrlink"
 	"github.com/bluebellroute/bluebellroute/bbrrows"
 	"github.com/bluebellroute/bluebellroute/bbrsuccession"
@@ -82,6 +83,7 @@
 func TestDocumentsNameMetricsThatExist(t *testing.T) {
 	is := is.New(t)
 	n := newTestNode()
+	n.groups["orders"].SetMembers([]bbrdirectory.Member{{ID: "p", Group: "orders"}}, nil, bbrcatalog.GroupSettings{Group: "orders"})
 	n.metrics.RecordStatement("r", bbrcatalog.PolicyPrimary, "done", time.Millisecond)
 	families := gatherMetrics(is, n)
 	for _, file := range []string{"operators/alerts.yml", "operators/dashboard.json", "OPERATIONS.md"} {
