--- a/bbrplace/scheduler.go
+++ b/bbrplace/scheduler.go
@@ -25,9 +25,10 @@
 //   - A statement for which no eligible member has capacity waits in a queue. The
 //     queue is ordered by priority. Within a priority, statements that are not
 //     late are scheduled before late ones, and shorter latency objectives before
-//     longer ones.
-//   - While all eligible members are saturated, late statements are rejected, so
-//     that the caller can retry elsewhere.
+//     longer ones. Statements of tenants take turns within a priority, and a priority
+//     that waits long gets a turn before higher ones.
+//   - While all eligible members are saturated, late statements that would wait until
+//     their deadline are rejected, so that the caller can retry elsewhere.
 //
 // # Usage
 //
