The runtime's memory limit is two thirds of the machine's

Cause: beside crowds that ask for large rows the peak came to 82 of 96 MB, most of it garbage that the runtime's limit of three quarters allows. Change: two thirds.

--- a/bbrbudget/limits.go
+++ b/bbrbudget/limits.go
@@ -81,13 +81,13 @@
 }
 
 // NewLimits divides the memory and the descriptors of a machine; 0 means that the limit is not
-// known. A quarter of the memory is left to what the runtime does not count, and nearly a
+// known. A third of the memory is left to what the runtime does not count, and nearly a
 // quarter of the descriptors to files and to connections that the instance opens itself: to
 // members, other instances and the store.
 func NewLimits(memory Bytes, descriptors int) Limits {
 	var l Limits
 	if memory > 0 {
-		l.Runtime = memory * 3 / 4
+		l.Runtime = memory * 2 / 3
 	} else {
 		memory = defaultMemory
 	}
