BUSY of a limit is true in transactions

Cause: BUSY promises that nothing of the caller's attempt is kept. A refused value or name left the transaction open, so that it could be committed; and a message refused unread got BUSY in a transaction of which a statement may have run outside. Change: the former rolls the transaction back, the latter is told as in doubt. The test fails with either rule switched off.

--- a/bbrbudget/caller.go
+++ b/bbrbudget/caller.go
@@ -68,7 +68,8 @@
 }
 
 // admit holds memory for a statement whose session has much state, because members are told
-// all of it. The room for a large message covers that. Outside of a transaction a statement is refused if there is no room in time.
+// all of it. The room for a large message covers that. Outside of a transaction a statement is
+// refused if there is no room in time.
 func (c *Caller) admit(req bbrmessage.Request) error {
 	if _, ok := req.(bbrmessage.Statement); !ok {
 		return nil
--- a/bbrsession/session.go
+++ b/bbrsession/session.go
@@ -146,7 +146,7 @@
 	var rejected *bbrmessage.Failure
 	if errors.As(err, &rejected) {
 		sess.server.Log.WithFields(logrus.Fields{"database": sess.database, "class": rejected.Class, "cause": rejected.Text, "inTransaction": sess.tx != nil}).Info("message of a caller rejected")
-		return sess.failureReply(rejected), false
+		return sess.failureReply(sess.withoutPromise(rejected)), false
 	}
 	if err != nil {
 		return bbrmessage.Reply{}, true
--- a/bbrsession/state.go
+++ b/bbrsession/state.go
@@ -23,6 +23,24 @@
 	return nil
 }
 
+// refuseState returns the reply to a statement whose state the session may not keep. ClassBusy
+// promises that nothing is kept of what the caller does, so that an open transaction is rolled back.
+func (sess *session) refuseState(f *bbrmessage.Failure) bbrmessage.Reply {
+	if f.Class != bbrmessage.ClassBusy || sess.tx == nil {
+		return sess.failureReply(f)
+	}
+	return sess.rollbackAndFail(f)
+}
+
+// withoutPromise returns the failure of a message that was refused unread. In a transaction of
+// which a statement may have run outside, it must not promise that nothing is kept.
+func (sess *session) withoutPromise(f *bbrmessage.Failure) *bbrmessage.Failure {
+	if f.Class != bbrmessage.ClassBusy || sess.tx == nil || !sess.tx.inDoubt {
+		return f
+	}
+	return &bbrmessage.Failure{Class: bbrmessage.ClassInDoubt, Text: f.Text}
+}
+
 // set keeps a value. The copies of its texts let the rest of the message go.
 func (sess *session) set(op bbrmessage.Set) bbrmessage.Reply {
 	entries, bytes := 1, len(op.Name)+len(op.Value)
@@ -30,7 +48,7 @@
 		entries, bytes = 0, len(op.Value)-len(old)
 	}
 	if failure := sess.keep(entries, bytes); failure != nil {
-		return sess.failureReply(failure)
+		return sess.refuseState(failure)
 	}
 	if sess.state.Values == nil {
 		sess.state.Values = map[string]string{}
@@ -48,7 +66,7 @@
 		entries, bytes = 0, len(op.Definition)-len(old.Definition)
 	}
 	if failure := sess.keep(entries, bytes); failure != nil {
-		return sess.failureReply(failure)
+		return sess.refuseState(failure)
 	}
 	if sess.state.Prepared == nil {
 		sess.state.Prepared = map[string]bbrmessage.Prepare{}
--- a/bbrsession/state_test.go
+++ b/bbrsession/state_test.go
@@ -1,9 +1,12 @@
 package bbrsession
 
 import (
+	"context"
+	"io"
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
 
 	"github.com/bluebellroute/bluebellroute/bbrmessage"
 )
@@ -61,3 +64,49 @@
 		})
 	}
 }
+
+// busyCaller lets a session keep nothing.
+type busyCaller struct{ bbrmessage.CallerConn }
+
+func (busyCaller) Keep(int, int) *bbrmessage.Failure {
+	return &bbrmessage.Failure{Class: bbrmessage.ClassBusy}
+}
+
+// TestBusyIsTrueInTransactions guards against BUSY, which promises that nothing is kept, beside a
+// transaction that can still be committed or has run in part.
+func TestBusyIsTrueInTransactions(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	unread := &bbrmessage.Failure{Class: bbrmessage.ClassBusy}
+	tests := map[string]struct {
+		tx    *transaction
+		reply func(sess *session) bbrmessage.Reply
+		class bbrmessage.FailureClass
+		state bbrmessage.TransactionState
+	}{
+		"state outside of a transaction": {
+			nil, func(sess *session) bbrmessage.Reply { return sess.set(bbrmessage.Set{Name: "a"}) },
+			bbrmessage.ClassBusy, bbrmessage.StateIdle,
+		},
+		"state in a transaction": {
+			&transaction{}, func(sess *session) bbrmessage.Reply { return sess.prepare(bbrmessage.Prepare{Name: "a"}) },
+			bbrmessage.ClassBusy, bbrmessage.StateFailed,
+		},
+		"a message unread in a transaction in doubt": {
+			&transaction{failed: true, inDoubt: true}, func(sess *session) bbrmessage.Reply {
+				reply, _ := sess.handleRequest(context.Background(), nil, unread)
+				return reply
+			},
+			bbrmessage.ClassInDoubt, bbrmessage.StateFailed,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			sess := &session{server: New(Deps{Log: log}), caller: busyCaller{}, tx: tt.tx}
+			reply := tt.reply(sess)
+			is.Equal(reply.Failure.Class, tt.class)
+			is.Equal(reply.State, tt.state)
+		})
+	}
+}
