Read for proofs once more if the reply is late

Change: a read for proofs that has no reply after 40 ms is sent once more, and the first reply counts.

--- a/bbrnode/prove.go
+++ b/bbrnode/prove.go
@@ -6,13 +6,18 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bluebellroute/bluebellroute/bbrrows"
 	"github.com/bluebellroute/bluebellroute/bbrsuccession"
+	"github.com/bluebellroute/bluebellroute/bbrtype"
 )
 
 const (
 	// storeProofTimeout bounds a read of the groups' records by which proofs are
 	// renewed.
 	storeProofTimeout = 350 * time.Millisecond
+	// lateReadDelay is how long such a read may take before another one is sent. The reply to
+	// that one still arrives within sharedReadWait.
+	lateReadDelay = 40 * time.Millisecond
 	// delegateStoreProofInterval is the least interval between two reads for proofs
 	// by the proof delegate of a data centre (see proofDelegate), storeProofInterval
 	// is the least interval for the other instances.
@@ -52,13 +57,13 @@
 func (n *Node) proveByRecords(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, storeProofTimeout)
 	defer cancel()
-	sentAt := n.clock.Now()
-	rows, version, err := n.platform.Store.Read(ctx, groupTable)
-	if err != nil {
-		return err
+	reply := n.readGroupTable(ctx)
+	if reply.err != nil {
+		return reply.err
 	}
+	version, sentAt := reply.version, reply.sentAt
 	n.recordEra(version.Era)
-	n.applyRows(rows)
+	n.applyRows(reply.rows)
 	n.recordRecordsRead(version, sentAt)
 	n.refreshTableReads(version, sentAt)
 	for _, g := range n.allGroups() {
@@ -70,6 +75,41 @@
 	return nil
 }
 
+// groupTableReply is the reply to a read of the groups' records that was sent at sentAt.
+type groupTableReply struct {
+	rows    []bbrrows.Row
+	version bbrrows.Version
+	sentAt  bbrtype.Mono
+	err     error
+}
+
+// readGroupTable reads the groups' records, once more after lateReadDelay, and returns the first
+// reply. A packet that gets lost would otherwise delay the proofs of a whole data centre, whose
+// instances would then each read the store.
+func (n *Node) readGroupTable(ctx context.Context) groupTableReply {
+	replies := make(chan groupTableReply, 2)
+	read := func() {
+		r := groupTableReply{sentAt: n.clock.Now()}
+		r.rows, r.version, r.err = n.platform.Store.Read(ctx, groupTable)
+		replies <- r
+	}
+	n.runAsync(read)
+	pending := 1
+	late := time.NewTimer(lateReadDelay)
+	defer late.Stop()
+	for {
+		select {
+		case r := <-replies:
+			if pending--; r.err == nil || pending == 0 {
+				return r
+			}
+		case <-late.C:
+			pending++
+			n.runAsync(read)
+		}
+	}
+}
+
 // unconfirmedRecords reports whether the record of any group is not confirmed in the
 // store's era, and whether none is confirmed.
 func (n *Node) unconfirmedRecords() (some, all bool) {
