--- a/bbrnode/follow_test.go
+++ b/bbrnode/follow_test.go
@@ -330,6 +330,11 @@
 				i.store.fail(errBusy)
 			}
 		}, within: 4 * time.Second},
+		"all but the last-ranked one are rejected": {fail: func(r []*testInstance) {
+			for _, i := range r[:len(r)-1] {
+				i.store.fail(errBusy)
+			}
+		}, within: 8 * time.Second},
 		"the three first-ranked ones are silent": {fail: func(r []*testInstance) {
 			for _, i := range r[:3] {
 				i.isSilent.Store(true)
--- a/bbrshare/share_test.go
+++ b/bbrshare/share_test.go
@@ -25,6 +25,8 @@
 		{Rows: []*sharepb.Row{{Table: "groups", Key: "g", Value: []byte("{}"), Version: 1 << 62, Era: -1}}},
 		{RecordsVersion: 7, RecordsAgoUs: 1000},
 		{RecordsVersion: -7, RecordsAgoUs: -1 << 62},
+		{Reads: []*sharepb.TableRead{{Table: "members", Version: 7, AgoUs: -1000, Whole: true}}},
+		{Reads: []*sharepb.TableRead{{Table: "members", AgoUs: -1 << 62}, {Table: "members", Era: -1}, {Table: "members", AgoUs: 1<<63 - 1}}},
 	} {
 		b, err := proto.Marshal(k)
 		if err != nil {
@@ -57,6 +59,11 @@
 		if r := knowledge.Records; r.Age < 0 || r.Age == 0 && r != (RecordsRead{}) || r.Version.Number < 0 || r.Version.Era < 0 {
 			t.Fatalf("a read of the records that nobody can know of: %v", r)
 		}
+		for _, r := range knowledge.Reads {
+			if r.Age < -maxFollowFor || r.Version.Number < 0 || r.Version.Era < 0 {
+				t.Fatalf("a read of a table that nobody can know of: %v", r)
+			}
+		}
 		var mirror bbrrows.Mirror
 		mirror.Apply(knowledge.Rows)
 	})
