--- a/bbrnode/watch.go
+++ b/bbrnode/watch.go
@@ -74,10 +74,10 @@
 var errReadOld = errors.New("the table was not read for too long")
 
 // withinAge returns a context that ends with errReadOld once the newest read of a table is
-// older than others may use.
-func (n *Node) withinAge(ctx context.Context, t followedTable) (context.Context, context.CancelCauseFunc) {
+// older than others may use, if it is for a long poll.
+func (n *Node) withinAge(ctx context.Context, t followedTable, isLongPoll bool) (context.Context, context.CancelCauseFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	if !n.mayBeFollowed() {
+	if !isLongPoll || !n.mayBeFollowed() {
 		return ctx, cancel
 	}
 	n.runAsync(func() {
@@ -104,10 +104,8 @@
 			cursor, wait = n.resumeCursor(t.name, *cursor), resumePollTimeout
 		}
 		startedAt := n.clock.Now()
-		pollCtx, cancel := context.WithCancelCause(ctx)
-		if cursor != nil && wait > resumePollTimeout {
-			pollCtx, cancel = n.withinAge(ctx, t)
-		}
+		isLongPoll := cursor != nil && wait > resumePollTimeout
+		pollCtx, cancel := n.withinAge(ctx, t, isLongPoll)
 		next, err := n.readTable(pollCtx, t.name, cursor, wait)
 		isOld := err != nil && errors.Is(context.Cause(pollCtx), errReadOld)
 		cancel(nil)
