--- a/bbrnode/follow.go
+++ b/bbrnode/follow.go
@@ -28,10 +28,10 @@
 	// whether it is to follow another instance.
 	sourceInterval = 500 * time.Millisecond
 	// seedWait is how long a seed may take to read the store for an instance that starts.
-	seedWait = 200 * time.Millisecond
+	seedWait = 80 * time.Millisecond
 	// seedTimeout bounds the time for which an instance that starts asks seeds, before it
 	// reads the store itself.
-	seedTimeout = 400 * time.Millisecond
+	seedTimeout = 100 * time.Millisecond
 	// seedRetryDelay is the delay before the next seed is asked.
 	seedRetryDelay = 30 * time.Millisecond
 	// storeSpread is the time over which instances without a follower spread their return
