Share a read that began and ended between the look for it and the start of another one

Cause: a caller that saw neither a recent read nor one in progress started its own even if another had meanwhile begun and ended, so that the store was read once more than needed. Change: whoever gets to run looks again.

--- a/bbrnode/singleflight.go
+++ b/bbrnode/singleflight.go
@@ -32,15 +32,25 @@
 	if recent {
 		return nil
 	}
-	return s.do(ctx, func(ctx context.Context) error {
-		err := work(ctx)
-		if err == nil {
-			s.mu.Lock()
-			s.lastSuccessStartedAt = now
-			s.mu.Unlock()
-		}
-		return err
-	})
+	return s.do(ctx, func(ctx context.Context) error { return s.run(ctx, now, work) })
+}
+
+// run runs work, and records a success that started at startedAt.
+func (s *singleFlight) run(ctx context.Context, startedAt bbrtype.Mono, work func(context.Context) error) error {
+	err := work(ctx)
+	if err == nil {
+		s.mu.Lock()
+		s.lastSuccessStartedAt = startedAt
+		s.mu.Unlock()
+	}
+	return err
+}
+
+// hasSucceededSince reports whether a successful run started at since or later.
+func (s *singleFlight) hasSucceededSince(since bbrtype.Mono) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastSuccessStartedAt >= since
 }
 
 // doSince is like do, but shares only runs that started at since or later: it does nothing
@@ -55,7 +65,12 @@
 		}
 		if f == nil {
 			// A run that others start meanwhile starts after since, too.
-			return s.doUnlessRecent(ctx, now(), 0, work)
+			return s.do(ctx, func(ctx context.Context) error {
+				if s.hasSucceededSince(since) {
+					return nil // it began and ended after the look at current
+				}
+				return s.run(ctx, now(), work)
+			})
 		}
 		select {
 		case <-f.done:
