--- a/review/stand2/consumer.go
+++ b/review/stand2/consumer.go
@@ -87,18 +87,18 @@
 	}
 }
 
-// manifest returns the operator's manifest.
-func manifest(version int) map[string]any {
-	var routes []map[string]any
-	for host, kind := range map[string]string{"billing": "primary", "balance": "bounded_staleness", "booking": "read_your_writes"} {
-		routes = append(routes, map[string]any{
-			"name": "r-" + host, "host": host, "type": kind, "service": serviceName, "priority": 1,
-			"timeout_ms": statementTimeout, "max_stale_ms": maxStaleMs, "slo_ms": 500,
-		})
-	}
-	return map[string]any{
-		"version": version, "routes": routes,
-		"services": []map[string]any{{"name": serviceName, "max_conns": connectionCap, "sync_replicas": 1}},
-		"limits":   map[string]any{"tx_idle_ms": 3000},
+// manifest returns the operator's manifest: three routes for each service.
+func manifest(version int, services []string) map[string]any {
+	var routes, groups []map[string]any
+	for n, service := range services {
+		for host, kind := range map[string]string{"billing": "primary", "balance": "bounded_staleness", "booking": "read_your_writes"} {
+			host = fmt.Sprintf("%s%d", host, n+1)
+			routes = append(routes, map[string]any{
+				"name": "r-" + host, "host": host, "type": kind, "service": service, "priority": 1,
+				"timeout_ms": statementTimeout, "max_stale_ms": maxStaleMs, "slo_ms": 500,
+			})
+		}
+		groups = append(groups, map[string]any{"name": service, "max_conns": connectionCap, "sync_replicas": 1})
 	}
+	return map[string]any{"version": version, "routes": routes, "services": groups, "limits": map[string]any{"tx_idle_ms": 3000}}
 }
--- a/review/stand2/instance.go
+++ b/review/stand2/instance.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -63,7 +64,7 @@
 
 // newInstances prepares instances, each at an address of its own, one in each zone by turns.
 func newInstances(dir string, n int, store, promoter string) ([]*instance, error) {
-	zones := []string{"nottingham-depot", "derby-works", "leicester-hub", "loughborough-store"}
+	zones := append(slices.Clone(zones), "loughborough-store")
 	var out []*instance
 	for k := range n {
 		host := fmt.Sprintf("127.%d.%d.%d", 40+os.Getpid()%60, 1+os.Getpid()/60%200, k+1)
@@ -99,7 +100,7 @@
 	if strings.Contains(text, "{{") {
 		return "", fmt.Errorf("the template of the settings has a field that the stand-in does not know:\n%s", text)
 	}
-	return text + os.Getenv("EXTRA"), nil
+	return text, nil
 }
 
 // start starts the process with the deploy file's command.
--- a/review/stand2/large.go
+++ b/review/stand2/large.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"strings"
 	"sync"
 	"syscall"
@@ -9,6 +10,18 @@
 	"golang.org/x/sync/errgroup"
 )
 
+// firstWrites lets an instance serve a write of a service.
+func firstWrites(r *record, i *instance, service int) error {
+	c, err := dial(i.callers, fmt.Sprintf("billing%d", service))
+	if err != nil {
+		return err
+	}
+	defer c.close()
+	id, a, err := c.ask("WRITE first "+i.zone, 5*time.Second)
+	r.add("%s: %s WRITE: %v %v", i.name, id, a, err)
+	return err
+}
+
 // largeResults lets consumers read results of many rows. A process that exceeds the memory of
 // its machine is killed and started again, as the platform does.
 func largeResults(r *record, dir string, trouble bool) (verdict, error) {
@@ -16,20 +29,19 @@
 		instances = 4
 		readers   = 6
 		rowBytes  = 512 << 10
-		duration  = 45 * time.Second
+		duration  = 25 * time.Second
 	)
 	rows := 1
 	if trouble {
 		rows = 64
 	}
-	w, err := newWorld(r)
+	p, err := newPlatform(r, 1)
 	if err != nil {
 		return couldNotGo, err
 	}
-	defer w.close()
-	w.isQuiet = true
+	defer p.close()
 	row := strings.Repeat("x", rowBytes)
-	w.rowsOf = func(item string) []string {
+	p.services[0].rowsOf = func(item string) []string {
 		if item != "report" {
 			return nil
 		}
@@ -39,10 +51,7 @@
 		}
 		return out
 	}
-	if err := w.store.put("op", "config", manifest(3)); err != nil {
-		return couldNotGo, err
-	}
-	all, err := newInstances(dir, instances, w.store.address, w.promoter.address)
+	all, err := newInstances(dir, instances, p.store.address, p.promoter.address)
 	if err != nil {
 		return couldNotGo, err
 	}
@@ -57,7 +66,7 @@
 			return couldNotGo, err
 		}
 	}
-	if err := firstWrites(r, all[0]); err != nil {
+	if err := firstWrites(r, all[0], 1); err != nil {
 		return couldNotGo, err
 	}
 	time.Sleep(2 * time.Second)
@@ -124,7 +133,7 @@
 // readReports reads the report again and again.
 func readReports(r *record, i *instance, end time.Time) {
 	for time.Now().Before(end) {
-		c, err := dial(i.callers, "balance")
+		c, err := dial(i.callers, "balance1")
 		if err != nil {
 			time.Sleep(100 * time.Millisecond)
 			continue
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -27,7 +27,7 @@
 
 var scripts = map[string]script{
 	"large-results":     largeResults,
-	"drain-after-start": drainAfterStart,
+	"holders-by-turns":  holdersByTurns,
 }
 
 func main() { os.Exit(int(run(os.Args[1:]))) }
--- a/review/stand2/member.go
+++ b/review/stand2/member.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -15,16 +16,15 @@
 )
 
 const (
-	// serviceName is the service of the members, and beat the time between two entries.
-	serviceName = "dele69a"
-	beat        = 1200 * time.Millisecond
+	// beat is the time between two entries of a member.
+	beat = 1200 * time.Millisecond
 	// slots is how many statements a member works on, connectionCap how many connections it
 	// accepts, workTime how long a statement takes.
 	slots         = 3
 	connectionCap = 23
 	workTime      = 6 * time.Millisecond
 	// promoteTime is how long a promotion takes, lag how far replicas are behind.
-	promoteTime = time.Second
+	promoteTime = 600 * time.Millisecond
 	lag         = 60 * time.Millisecond
 	// followAfter is how long an old primary goes on that reaches the new one.
 	followAfter = time.Second
@@ -59,12 +59,61 @@
 	conns                         map[net.Conn]bool
 }
 
-// world is a service of members and the platform that they are on.
-type world struct {
-	record   *record
+// serviceNames are the services of a deployment.
+var serviceNames = []string{"dele69a", "xano55b", "gowu98c"}
+
+// platform is the platform of a deployment, with its services.
+type platform struct {
 	store    *store
 	promoter *promoter
-	work     errgroup.Group
+	services []*world
+}
+
+// newPlatform starts a platform with three members for each of some services, and puts a manifest
+// with their routes in force.
+func newPlatform(r *record, services int) (*platform, error) {
+	s, err := newStore()
+	if err != nil {
+		return nil, err
+	}
+	p := &platform{store: s}
+	if p.promoter, err = newPromoter(r, p); err != nil {
+		return nil, err
+	}
+	for _, name := range serviceNames[:services] {
+		w, err := newWorld(r, s, name)
+		if err != nil {
+			return nil, err
+		}
+		p.services = append(p.services, w)
+	}
+	return p, s.put("op", "config", manifest(3, serviceNames[:services]))
+}
+
+func (p *platform) close() {
+	for _, w := range p.services {
+		w.close()
+	}
+	p.promoter.close()
+	p.store.close()
+}
+
+// service returns the service of a name, nil if there is none.
+func (p *platform) service(name string) *world {
+	for _, w := range p.services {
+		if w.name == name {
+			return w
+		}
+	}
+	return nil
+}
+
+// world is a service of members.
+type world struct {
+	name   string
+	record *record
+	store  *store
+	work   errgroup.Group
 	// rowsOf returns the rows of a read of an item, nil for the item's value.
 	rowsOf func(item string) []string
 	// isQuiet leaves statements out of the record.
@@ -74,6 +123,7 @@
 	members   []*member
 	changed   chan struct{}
 	signature int
+	started   int
 	ran       []run1
 	isClosed  bool
 }
@@ -85,29 +135,29 @@
 	id, text string
 }
 
-func newWorld(r *record) (*world, error) {
-	s, err := newStore()
-	if err != nil {
-		return nil, err
-	}
-	w := &world{record: r, store: s, changed: make(chan struct{})}
-	if w.promoter, err = newPromoter(w); err != nil {
-		return nil, err
-	}
-	for n, zone := range []string{"nottingham-depot", "derby-works", "leicester-hub"} {
-		if _, err := w.addMember(fmt.Sprintf("i-%d", n+1), zone); err != nil {
+func newWorld(r *record, s *store, name string) (*world, error) {
+	w := &world{name: name, record: r, store: s, changed: make(chan struct{}), isQuiet: true}
+	for range 3 {
+		if _, err := w.addMember(); err != nil {
 			return nil, err
 		}
 	}
 	return w, nil
 }
 
+// zones are those of the members, by turns.
+var zones = []string{"nottingham-depot", "derby-works", "leicester-hub"}
+
 // addMember starts a member with the primary's log. The first one is the primary.
-func (w *world) addMember(id, zone string) (*member, error) {
+func (w *world) addMember() (*member, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
+	w.mu.Lock()
+	w.started++
+	id, zone := fmt.Sprintf("i-%s-%03d", w.name, w.started), zones[w.started%len(zones)]
+	w.mu.Unlock()
 	m := &member{world: w, id: id, zone: zone, listener: l, born: time.Now().UnixMilli(), slots: make(chan struct{}, slots), conns: map[net.Conn]bool{}}
 	w.mu.Lock()
 	if p := w.leader(); p != nil {
@@ -148,7 +198,7 @@
 		state = "draining"
 	}
 	entry := map[string]any{
-		"service": serviceName, "address": m.listener.Addr().String(), "zone": m.zone, "version": "1", "slots": slots,
+		"service": m.world.name, "address": m.listener.Addr().String(), "zone": m.zone, "version": "1", "slots": slots,
 		"state": state, "cold_left_ms": 0, "sequence": m.sequence, "db_role": role, "born": m.born,
 	}
 	m.world.mu.Unlock()
@@ -164,6 +214,39 @@
 	return time.Now(), err
 }
 
+// leave ends the member.
+func (m *member) leave() {
+	w := m.world
+	w.mu.Lock()
+	m.isGone = true
+	w.members = slices.DeleteFunc(w.members, func(o *member) bool { return o == m })
+	_ = m.listener.Close()
+	for c := range m.conns {
+		_ = c.Close()
+	}
+	w.wake()
+	w.mu.Unlock()
+	w.store.remove("servers", m.id)
+}
+
+// running returns the members that run, the primary first.
+func (w *world) running() []*member {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := slices.Clone(w.members)
+	p := w.leader()
+	slices.SortStableFunc(out, func(a, b *member) int {
+		switch {
+		case a == p:
+			return -1
+		case b == p:
+			return 1
+		}
+		return strings.Compare(a.id, b.id)
+	})
+	return out
+}
+
 // leader returns the member that leads the newest term. The caller holds mu.
 func (w *world) leader() *member {
 	var best *member
@@ -192,8 +275,6 @@
 	}
 	w.wake()
 	w.mu.Unlock()
-	w.promoter.close()
-	w.store.close()
 	_ = w.work.Wait()
 }
 
@@ -362,7 +443,7 @@
 	n := len(m.conns)
 	m.world.mu.Unlock()
 	switch {
-	case f[0] != serviceName || f[2] != "" && f[2] != m.id:
+	case f[0] != m.world.name || f[2] != "" && f[2] != m.id:
 		_, _ = fmt.Fprintf(s.out, "ERROR WRONGNODE %s\r\n", m.id)
 		return false
 	case n > connectionCap:
@@ -605,48 +686,51 @@
 	return []string{fmt.Sprintf("%s %d %s %d 0 %d %d", role, m.term, m.last().place(), m.paused, len(m.slots), len(m.conns))}, "COMPLETE -"
 }
 
+// order is an order of a promotion.
+type order struct {
+	at              time.Time
+	service, holder string
+	member, fence   string
+}
+
 // promoter is the platform's call for a promotion.
 type promoter struct {
-	world   *world
-	address string
+	record   *record
+	platform *platform
+	address  string
+	server   *http.Server
+	work     errgroup.Group
 
 	mu     sync.Mutex
-	server *http.Server
+	orders []order
 }
 
-func newPromoter(w *world) (*promoter, error) {
-	a, err := freeAddresses("127.0.0.1", 1)
+func newPromoter(r *record, of *platform) (*promoter, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &promoter{world: w, address: a[0]}
-	return p, p.up()
-}
-
-// up lets the promoter answer.
-func (p *promoter) up() error {
-	l, err := net.Listen("tcp", p.address)
-	if err != nil {
-		return err
-	}
+	p := &promoter{record: r, platform: of, address: l.Addr().String()}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /promote", p.serve)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
-	p.mu.Lock()
-	p.server = server
-	p.mu.Unlock()
-	p.world.work.Go(func() error {
-		_ = server.Serve(l)
+	p.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
+	p.work.Go(func() error {
+		_ = p.server.Serve(l)
 		return nil
 	})
-	return nil
+	return p, nil
 }
 
-// close lets the promoter refuse connections.
 func (p *promoter) close() {
+	_ = p.server.Close()
+	_ = p.work.Wait()
+}
+
+// all returns the orders that arrived.
+func (p *promoter) all() []order {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	_ = p.server.Close()
+	return slices.Clone(p.orders)
 }
 
 func (p *promoter) serve(w http.ResponseWriter, r *http.Request) {
@@ -655,8 +739,15 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	p.world.record.add("promotion of %s ordered by %s with %s", body.ID, r.Header.Get("Bluebellroute-Lease-Holder"), r.Header.Get("Bluebellroute-Fencing-Token"))
-	if body.Service != serviceName || !p.world.promote(body.ID) {
+	o := order{
+		at: time.Now(), service: body.Service, member: body.ID,
+		holder: r.Header.Get("Bluebellroute-Lease-Holder"), fence: r.Header.Get("Bluebellroute-Fencing-Token"),
+	}
+	p.mu.Lock()
+	p.orders = append(p.orders, o)
+	p.mu.Unlock()
+	p.record.at(o.at, "promotion of %s in %s ordered by %s with fence %s", o.member, o.service, o.holder, o.fence)
+	if s := p.platform.service(body.Service); s == nil || !s.promote(body.ID) {
 		http.Error(w, "that member is not running", http.StatusConflict)
 	}
 }
