--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -26,8 +26,8 @@
 type script func(r *record, dir string, trouble bool) (verdict, error)
 
 var scripts = map[string]script{
-	"large-results":     largeResults,
-	"holders-by-turns":  holdersByTurns,
+	"large-results":    largeResults,
+	"holders-by-turns": holdersByTurns,
 }
 
 func main() { os.Exit(int(run(os.Args[1:]))) }
