--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -25,10 +25,7 @@
 // script runs a case. With trouble unset it leaves out the disruption.
 type script func(r *record, dir string, trouble bool) (verdict, error)
 
-var scripts = map[string]script{
-	"large-results":    largeResults,
-	"holders-by-turns": holdersByTurns,
-}
+var scripts = map[string]script{"large-results": largeResults}
 
 func main() { os.Exit(int(run(os.Args[1:]))) }
 
--- a/review/stand2/member.go
+++ b/review/stand2/member.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -116,27 +115,17 @@
 	work   errgroup.Group
 	// rowsOf returns the rows of a read of an item, nil for the item's value.
 	rowsOf func(item string) []string
-	// isQuiet leaves statements out of the record.
-	isQuiet bool
 
 	mu        sync.Mutex
 	members   []*member
 	changed   chan struct{}
 	signature int
 	started   int
-	ran       []run1
 	isClosed  bool
 }
 
-// run1 is a statement of a consumer as a member received it.
-type run1 struct {
-	at       time.Time
-	member   string
-	id, text string
-}
-
 func newWorld(r *record, s *store, name string) (*world, error) {
-	w := &world{name: name, record: r, store: s, changed: make(chan struct{}), isQuiet: true}
+	w := &world{name: name, record: r, store: s, changed: make(chan struct{})}
 	for range 3 {
 		if _, err := w.addMember(); err != nil {
 			return nil, err
@@ -205,48 +194,6 @@
 	return m.world.store.put("servers", m.id, entry)
 }
 
-// drain lets the member say that it leaves. It returns when the store has accepted that.
-func (m *member) drain() (time.Time, error) {
-	m.world.mu.Lock()
-	m.isDraining = true
-	m.world.mu.Unlock()
-	err := m.register()
-	return time.Now(), err
-}
-
-// leave ends the member.
-func (m *member) leave() {
-	w := m.world
-	w.mu.Lock()
-	m.isGone = true
-	w.members = slices.DeleteFunc(w.members, func(o *member) bool { return o == m })
-	_ = m.listener.Close()
-	for c := range m.conns {
-		_ = c.Close()
-	}
-	w.wake()
-	w.mu.Unlock()
-	w.store.remove("servers", m.id)
-}
-
-// running returns the members that run, the primary first.
-func (w *world) running() []*member {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	out := slices.Clone(w.members)
-	p := w.leader()
-	slices.SortStableFunc(out, func(a, b *member) int {
-		switch {
-		case a == p:
-			return -1
-		case b == p:
-			return 1
-		}
-		return strings.Compare(a.id, b.id)
-	})
-	return out
-}
-
 // leader returns the member that leads the newest term. The caller holds mu.
 func (w *world) leader() *member {
 	var best *member
@@ -278,13 +225,6 @@
 	_ = w.work.Wait()
 }
 
-// statements returns what members have received of consumers.
-func (w *world) statements() []run1 {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return append([]run1(nil), w.ran...)
-}
-
 // promote lets a member lead the next term, promoteTime after it was ordered.
 func (w *world) promote(id string) bool {
 	w.mu.Lock()
@@ -466,12 +406,7 @@
 func (s *session) query(id, text string) {
 	m, w := s.member, s.member.world
 	if id != "-" {
-		w.mu.Lock()
-		w.ran = append(w.ran, run1{at: time.Now(), member: m.id, id: id, text: text})
-		w.mu.Unlock()
-		if !w.isQuiet {
-			w.record.add("%s received %s %s", m.id, id, text)
-		}
+		w.record.add("%s received %s %s", m.id, id, text)
 	}
 	after := ""
 	if rest, ok := strings.CutPrefix(text, "AFTER "); ok {
@@ -686,13 +621,6 @@
 	return []string{fmt.Sprintf("%s %d %s %d 0 %d %d", role, m.term, m.last().place(), m.paused, len(m.slots), len(m.conns))}, "COMPLETE -"
 }
 
-// order is an order of a promotion.
-type order struct {
-	at              time.Time
-	service, holder string
-	member, fence   string
-}
-
 // promoter is the platform's call for a promotion.
 type promoter struct {
 	record   *record
@@ -700,9 +628,6 @@
 	address  string
 	server   *http.Server
 	work     errgroup.Group
-
-	mu     sync.Mutex
-	orders []order
 }
 
 func newPromoter(r *record, of *platform) (*promoter, error) {
@@ -726,27 +651,13 @@
 	_ = p.work.Wait()
 }
 
-// all returns the orders that arrived.
-func (p *promoter) all() []order {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return slices.Clone(p.orders)
-}
-
 func (p *promoter) serve(w http.ResponseWriter, r *http.Request) {
 	var body struct{ Service, ID string }
 	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	o := order{
-		at: time.Now(), service: body.Service, member: body.ID,
-		holder: r.Header.Get("Bluebellroute-Lease-Holder"), fence: r.Header.Get("Bluebellroute-Fencing-Token"),
-	}
-	p.mu.Lock()
-	p.orders = append(p.orders, o)
-	p.mu.Unlock()
-	p.record.at(o.at, "promotion of %s in %s ordered by %s with fence %s", o.member, o.service, o.holder, o.fence)
+	p.record.add("promotion of %s in %s ordered by %s with fence %s", body.ID, body.Service, r.Header.Get("Bluebellroute-Lease-Holder"), r.Header.Get("Bluebellroute-Fencing-Token"))
 	if s := p.platform.service(body.Service); s == nil || !s.promote(body.ID) {
 		http.Error(w, "that member is not running", http.StatusConflict)
 	}
